Thin whole path on the users' platform: adapter, routes, reservations, hyper for store calls

The platform speaks routes by host and path, keys of tenants, token counts and engine-side reservations; none of that existed. New: platform/ (store protocol, catalogue, headers), deploy/, crates/exchange (one hyper exchange per connection, because awc reports cut bodies as whole), policy::{routing, registry, placement, admission, attempt, outlier, freshness}, damaskhatch::relay. crates/platform is now crates/store, with the protocol as the part that varies.

--- a/crates/damaskhatch/src/bin/damaskhatchd.rs
+++ b/crates/damaskhatch/src/bin/damaskhatchd.rs
@@ -5,6 +5,7 @@
 
 use bpaf::Bpaf;
 use damaskhatch::cli::args::parse;
+use damaskhatch::deployment::Deployment;
 use damaskhatch::host;
 use damaskhatch::settings::Settings;
 
@@ -58,7 +59,7 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    match actix_web::rt::System::new().block_on(host::run(settings)) {
+    match actix_web::rt::System::new().block_on(host::run(settings, Deployment::OWN)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=start_failed error={error}");
--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -4,13 +4,14 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use damaskhatch_platform::error::{Error, Result};
-use damaskhatch_platform::prelude::{Client, Store};
-use damaskhatch_platform::store;
-use damaskhatch_policy::config::Head;
+use damaskhatch_policy::config::{self, Head};
 use damaskhatch_policy::sheet::Row;
+use damaskhatch_store::error::{Error, Result};
+use damaskhatch_store::prelude::{Client, Store};
+use damaskhatch_store::store;
 use damaskhatch_wire::prelude::Body;
 
+use crate::deployment::Catalogue;
 use crate::metrics::Metrics;
 use crate::peers::{SharedCodec, ask};
 
@@ -24,6 +25,8 @@
     Platform {
         /// The client.
         client: Client,
+        /// What operators write in a form of their own, if they do.
+        foreign: Option<Foreign>,
         /// Only a head with a higher version is of interest.
         after: u64,
         /// How long to wait for one.
@@ -42,6 +45,15 @@
     },
 }
 
+/// A configuration that operators write in a form of their own.
+#[derive(Debug, Clone)]
+pub struct Foreign {
+    /// Where it is and how it is decoded.
+    pub catalogue: Catalogue,
+    /// The failure domains, which it does not name.
+    pub domains: Vec<String>,
+}
+
 /// What was read.
 #[derive(Debug)]
 pub struct Pulled {
@@ -63,7 +75,11 @@
     revision: u64,
     mut known: HashMap<String, String>,
 ) -> Result<Pulled> {
-    let Top { head, version, withdrawn } = top(&source).await?;
+    let Top { head, version, withdrawn, rows } = top(&source).await?;
+    if let Some(rows) = rows.filter(|_| head.revision > revision) {
+        let (head, chunks) = chunked(head.revision, &rows);
+        return Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn });
+    }
     if head.revision <= revision {
         return Ok(Pulled { head, version, rows: None, chunks: known, withdrawn });
     }
@@ -87,22 +103,62 @@
     head: Head,
     version: u64,
     withdrawn: Vec<String>,
+    /// The rows, where they come with the head.
+    rows: Option<Vec<Row>>,
+}
+
+/// A configuration as peers pull it.
+fn chunked(revision: u64, rows: &[Row]) -> (Head, HashMap<String, String>) {
+    let texts = config::split(rows).into_iter().map(|rows| store::encode(&rows));
+    let texts: Vec<(String, String)> = texts.map(|text| (store::digest(&text), text)).collect();
+    let chunks = texts.iter().map(|(digest, _)| digest.clone()).collect();
+    (Head { revision, chunks, ..Head::default() }, texts.into_iter().collect())
+}
+
+/// Reads a configuration in the operators' own form, or learns that there is no newer one.
+async fn foreign_top(
+    client: &Client,
+    foreign: &Foreign,
+    after: u64,
+    wait: Duration,
+) -> Result<Top> {
+    let key = foreign.catalogue.config_key;
+    let (item, version) = if wait.is_zero() {
+        let item = client.get(key).await?;
+        let version = item.version;
+        (Some(item), version)
+    } else {
+        let changes = client.changes(key, after, wait).await?;
+        let last = changes.items.into_iter().rfind(|(changed, _)| changed == key);
+        (last.and_then(|(_, item)| item), changes.version)
+    };
+    let Some(item) = item else {
+        return Ok(Top { head: Head::default(), version, withdrawn: Vec::new(), rows: None });
+    };
+    let written = (foreign.catalogue.decode_config)(&item.value, &foreign.domains)?;
+    let head = Head { revision: written.revision, ..Head::default() };
+    Ok(Top { head, version, withdrawn: Vec::new(), rows: Some(written.rows) })
 }
 
 async fn top(source: &Source) -> Result<Top> {
     match source {
-        Source::Platform { client, after, wait } => {
-            let store = Store::new(client.clone());
+        Source::Platform { client, foreign: Some(foreign), after, wait } => {
+            foreign_top(client, foreign, *after, *wait).await
+        }
+        Source::Platform { client, foreign: None, after, wait } => {
+            let store = Store::new(*client);
             let (head, version) = if wait.is_zero() {
                 store.head().await?
             } else {
                 store.watch(*after, *wait).await?
             };
-            Ok(Top { head, version, withdrawn: Vec::new() })
+            Ok(Top { head, version, withdrawn: Vec::new(), rows: None })
         }
         Source::Peer { from, to, codec, metrics } => {
             match exchange(ask(*from, *to, codec, metrics, Body::GetHead).await)? {
-                Body::Head { head, withdrawn } => Ok(Top { head, version: 0, withdrawn }),
+                Body::Head { head, withdrawn } => {
+                    Ok(Top { head, version: 0, withdrawn, rows: None })
+                }
                 _ => Err(Error::Malformed("the peer answered something else".to_owned())),
             }
         }
@@ -113,7 +169,7 @@
     let mut texts = Vec::new();
     match source {
         Source::Platform { client, .. } => {
-            let store = Store::new(client.clone());
+            let store = Store::new(*client);
             for digest in missing {
                 texts.push(store.chunk(digest).await?);
             }
--- a/crates/damaskhatch/src/control/configuration/message.rs
+++ b/crates/damaskhatch/src/control/configuration/message.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashSet;
 
-use damaskhatch_platform::error::Error;
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::sheet::Row;
+use damaskhatch_store::error::Error;
 
 use crate::prelude::*;
 
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -7,15 +7,17 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use damaskhatch_platform::error::Error;
-use damaskhatch_platform::prelude::{Client, Store};
 use damaskhatch_policy::config::{Applied, Head, Snapshot, State};
+use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::rendezvous;
 use damaskhatch_policy::sheet::Row;
+use damaskhatch_store::error::Error;
+use damaskhatch_store::prelude::{Client, Store};
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::config_pull::{Pulled, Source, pull};
+use crate::clock::boot;
+use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
 use crate::control::membership::READERS;
 use crate::peers::{Arrival, SharedCodec};
@@ -31,6 +33,8 @@
 
 /// How long one watch on the platform waits.
 const WATCH_TIME: Duration = Duration::from_secs(5);
+/// The same where the age of the configuration decides whether keys are good.
+const FRESH_WATCH_TIME: Duration = Duration::from_secs(1);
 /// The pause after a failed or needless look at the platform.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 /// The time between two looks at what peers have.
@@ -55,6 +59,8 @@
     codec: SharedCodec,
     archive: SharedArchive,
     publish: watch::Sender<Arc<Snapshot>>,
+    freshness: watch::Sender<Freshness>,
+    is_reachable: bool,
     state: State,
     version: u64,
     pulling: bool,
@@ -75,12 +81,15 @@
         codec: SharedCodec,
         archive: SharedArchive,
         publish: watch::Sender<Arc<Snapshot>>,
+        freshness: watch::Sender<Freshness>,
     ) -> Self {
         Self {
             shared,
             codec,
             archive,
             publish,
+            freshness,
+            is_reachable: true,
             state: State::default(),
             version: 0,
             pulling: false,
@@ -90,10 +99,19 @@
     }
 
     fn client(&self) -> Client {
-        Client::new(&self.shared.settings.platform.address)
+        self.shared.store()
+    }
+
+    /// What the operators write in a form of their own, if they do.
+    fn foreign(&self) -> Option<Foreign> {
+        let catalogue = self.shared.deployment.catalogue?;
+        Some(Foreign { catalogue, domains: self.shared.settings.host.domains.clone() })
     }
 
     fn is_reader(&self) -> bool {
+        if self.shared.deployment.catalogue.is_some() {
+            return true;
+        }
         let hosts = self.shared.hosts();
         let eligible = hosts.eligible(self.shared.domain, Instant::now());
         rendezvous::owners(Tag::of("reader"), eligible, READERS).contains(&self.shared.host)
@@ -105,25 +123,35 @@
             ctx.run_later(WATCH_PAUSE, |actor, ctx| actor.watch(ctx));
             return;
         }
+        let foreign = self.foreign();
+        let longest = if foreign.is_some() { FRESH_WATCH_TIME } else { WATCH_TIME };
         let source = Source::Platform {
             client: self.client(),
+            foreign,
             after: self.version,
-            wait: if self.version == 0 { Duration::ZERO } else { WATCH_TIME },
+            wait: if self.version == 0 { Duration::ZERO } else { longest },
         };
+        let began = boot();
         let known = self.known_chunks();
         let revision = self.state.head().revision;
         let pulled = async move { pull(source, revision, known).await };
-        ctx.spawn(pulled.into_actor(self).map(|pulled, actor, ctx| {
+        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, ctx| {
             let result = if pulled.is_ok() { "ok" } else { "failed" };
             actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
             let pause = match pulled {
                 Ok(pulled) => {
-                    let idle = pulled.head.revision == 0;
+                    actor.note_reachable(None);
+                    let idle = pulled.version == 0;
                     actor.take(pulled, "platform");
+                    actor.freshness.send_modify(|freshness| freshness.confirm(began));
                     if idle { WATCH_PAUSE } else { Duration::ZERO }
                 }
                 Err(error) => {
-                    log::debug!("event=watch_failed error={error}");
+                    actor.note_reachable(Some(&error));
+                    if error == Error::Missing {
+                        // The store no longer has the history that the watch asked for.
+                        actor.version = 0;
+                    }
                     WATCH_PAUSE
                 }
             };
@@ -131,6 +159,19 @@
         }));
     }
 
+    fn note_reachable(&mut self, error: Option<&Error>) {
+        if self.is_reachable == error.is_none() {
+            return;
+        }
+        self.is_reachable = error.is_none();
+        match error {
+            None => log::info!("event=dependency_regained what=store reader=configuration"),
+            Some(error) => {
+                log::warn!("event=dependency_lost what=store reader=configuration error={error}");
+            }
+        }
+    }
+
     fn known_chunks(&self) -> HashMap<String, String> {
         let archive = self.archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         archive.chunks.clone()
@@ -282,7 +323,8 @@
         rows: impl FnOnce(&State) -> Result<Vec<Row>, Error> + 'static,
     ) -> ResponseActFuture<Self, Result<Head, Error>> {
         let client = self.client();
-        let source = Source::Platform { client: client.clone(), after: 0, wait: Duration::ZERO };
+        let (after, wait) = (0, Duration::ZERO);
+        let source = Source::Platform { client, foreign: None, after, wait };
         let known = self.known_chunks();
         let revision = self.state.head().revision;
         let pulled = async move { pull(source, revision, known).await };
@@ -307,9 +349,9 @@
     /// Puts in force what this host itself wrote.
     fn take_written(&mut self, head: &Head, rows: Vec<Row>) {
         let split = damaskhatch_policy::config::split(&rows);
-        let texts = split.iter().map(|rows| damaskhatch_platform::store::encode(rows));
+        let texts = split.iter().map(|rows| damaskhatch_store::store::encode(rows));
         let chunks: HashMap<String, String> =
-            texts.map(|text| (damaskhatch_platform::store::digest(&text), text)).collect();
+            texts.map(|text| (damaskhatch_store::store::digest(&text), text)).collect();
         // After a lost reply the head may be a later one, with rows this host has not read.
         if head.chunks.iter().all(|digest| chunks.contains_key(digest)) {
             let (head, version) = (head.clone(), 0);
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -4,7 +4,6 @@
 
 use crate::prelude::*;
 use crate::settings::Settings;
-use damaskhatch_platform::prelude::Client;
 use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
 use damaskhatch_policy::rendezvous;
 use damaskhatch_wire::prelude::Body;
@@ -68,6 +67,7 @@
         own.revision = snapshot.revision;
         own.withdrawn = snapshot.withdrawn().count() as u32;
         own.leaving = self.shared.is_draining();
+        own.loads = self.shared.loads.snapshot().into_iter().collect();
         own.leaving_upstreams.clone_from(&self.said_leaving);
         own.leaving_upstreams.extend(&self.listed_leaving);
         let heartbeat = self.view.beat(&mut self.rng, now);
@@ -91,7 +91,7 @@
         if !rendezvous::owners(role, hosts, READERS).contains(&self.shared.host) {
             return;
         }
-        let client = Client::new(&self.shared.settings.platform.address);
+        let client = self.shared.store();
         let read = async move { client.hosts().await };
         ctx.spawn(read.into_actor(self).map(|listed, actor, _ctx| {
             let result = if listed.is_ok() { "ok" } else { "failed" };
@@ -103,7 +103,7 @@
         }));
     }
 
-    fn correct(&mut self, listed: &[damaskhatch_platform::message::Host]) {
+    fn correct(&mut self, listed: &[damaskhatch_store::message::Host]) {
         let snapshot = self.shared.snapshot();
         let is_upstream = |tag: Tag| snapshot.upstream(tag).is_some();
         let mut hosts = Vec::new();
@@ -134,6 +134,7 @@
         epoch: 0,
         slots: 0,
         headroom: Vec::new(),
+        loads: Vec::new(),
         leaving_upstreams: Vec::new(),
     };
     View::new(own, settings.host.seeds.clone())
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod listing;
 pub mod membership;
 pub mod quota;
 pub mod roster;
@@ -13,7 +14,9 @@
 
 use actix::{Addr, Arbiter, Supervisor};
 use damaskhatch_policy::config::Snapshot;
+use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::membership::View;
+use damaskhatch_policy::registry::Registry;
 use damaskhatch_wire::prelude::Body;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -26,6 +29,19 @@
 #[rtype(result = "()")]
 pub struct Incoming(pub Arrival);
 
+/// What the control actors publish to all threads.
+#[derive(Debug)]
+pub struct Publishers {
+    /// The configuration in force.
+    pub config: watch::Sender<Arc<Snapshot>>,
+    /// The hosts.
+    pub view: watch::Sender<Arc<View>>,
+    /// The registered upstreams.
+    pub registry: watch::Sender<Arc<Registry>>,
+    /// When the configuration was last known to be the newest.
+    pub freshness: watch::Sender<Freshness>,
+}
+
 /// The addresses of all control actors.
 #[derive(Debug, Clone)]
 pub struct Control {
@@ -52,9 +68,9 @@
         shared: &Shared,
         codec: &SharedCodec,
         archive: &configuration::SharedArchive,
-        config: watch::Sender<Arc<Snapshot>>,
-        view: watch::Sender<Arc<View>>,
+        publish: Publishers,
     ) -> Self {
+        let Publishers { config, view, registry, freshness } = publish;
         let thread = arbiter.handle();
         let membership = {
             let shared = shared.clone();
@@ -64,7 +80,7 @@
             let shared = shared.clone();
             let (codec, archive) = (Arc::clone(codec), Arc::clone(archive));
             Supervisor::start_in_arbiter(&thread, |_| {
-                configuration::Configuration::new(shared, codec, archive, config)
+                configuration::Configuration::new(shared, codec, archive, config, freshness)
             })
         };
         let quota = {
@@ -92,6 +108,12 @@
             let (shared, scheduling) = (shared.clone(), scheduling.clone());
             Supervisor::start_in_arbiter(&thread, |_| strikes::Strikes::new(shared, scheduling))
         };
+        if let Some(catalogue) = shared.deployment.catalogue {
+            let shared = shared.clone();
+            Supervisor::start_in_arbiter(&thread, move |_| {
+                listing::Listing::new(shared, catalogue, registry)
+            });
+        }
         Self { membership, configuration, quota, roster, scheduling, claims, strikes }
     }
 
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -6,10 +6,10 @@
 
 use std::collections::HashSet;
 
-use damaskhatch_platform::error::{Error, Result};
-use damaskhatch_platform::message::Swap;
-use damaskhatch_platform::prelude::Client;
 use damaskhatch_policy::tenure::{Confirmed, Observed, Roster, Seat, Tenure};
+use damaskhatch_store::error::{Error, Result};
+use damaskhatch_store::message::Swap;
+use damaskhatch_store::prelude::Client;
 use damaskhatch_wire::prelude::Body;
 
 use crate::control::Incoming;
@@ -68,7 +68,7 @@
     }
 
     fn client(&self) -> Client {
-        Client::new(&self.shared.settings.platform.address)
+        self.shared.store()
     }
 
     /// Renews, reads and confirms; then proposes a change if there is one.
--- a/crates/damaskhatch/src/control/roster/store.rs
+++ b/crates/damaskhatch/src/control/roster/store.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 
-use damaskhatch_platform::error::{Error, Result};
-use damaskhatch_platform::message::Swap;
-use damaskhatch_platform::prelude::Client;
 use damaskhatch_policy::tenure::{Confirmed, LEASE_LIFE, Observed, Roster, Seat};
+use damaskhatch_store::error::{Error, Result};
+use damaskhatch_store::message::Swap;
+use damaskhatch_store::prelude::Client;
 
 use crate::prelude::*;
 
--- a/crates/damaskhatch/src/decision.rs
+++ b/crates/damaskhatch/src/decision.rs
@@ -6,7 +6,6 @@
 use std::fmt;
 use std::sync::{Arc, Mutex};
 
-use damaskhatch_policy::prelude::Request;
 use serde::Serialize;
 
 /// Decisions that a host remembers.
@@ -31,7 +30,7 @@
 
 impl Journal {
     /// Logs a decision and remembers it.
-    pub fn record(&self, request: Request, what: fmt::Arguments<'_>) {
+    pub fn record(&self, request: impl fmt::Display, what: fmt::Arguments<'_>) {
         let text = format!("decision request={request} {what}");
         log::info!("{text}");
         let at_ms = damaskhatch_wire::frame::wall_ms();
--- a/crates/damaskhatch/src/entry/charge.rs
+++ b/crates/damaskhatch/src/entry/charge.rs
@@ -37,6 +37,7 @@
             request,
             team: caller.tag,
             domain,
+            total: tokens,
             unused: tokens,
         })),
         Verdict::Short { retry_after } => Err(Refusal::after(Kind::OverRate, retry_after)),
--- a/crates/damaskhatch/src/entry/hold.rs
+++ b/crates/damaskhatch/src/entry/hold.rs
@@ -67,6 +67,8 @@
     pub team: Tag,
     /// The domain whose holder was paid.
     pub domain: Tag,
+    /// Tokens charged.
+    pub total: f64,
     /// Tokens not used so far.
     pub unused: f64,
 }
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -13,11 +13,14 @@
 pub mod refusal;
 pub mod stream;
 
-use std::sync::{Arc, Mutex};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use damaskhatch_policy::outlier::Outliers;
+use damaskhatch_policy::placement::Known;
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::retry::Budget;
+use damaskhatch_policy::retry::{self, Budget};
 use serde_json::json;
 
 use crate::control::Control;
@@ -37,6 +40,10 @@
     pub in_flight: InFlight,
     /// The host's retry budget.
     pub budget: Arc<Mutex<Budget>>,
+    /// The retry budgets of routed services.
+    pub budgets: Arc<Mutex<HashMap<Service, Budget>>>,
+    /// Upstreams of routed services that failed lately.
+    pub outliers: Arc<Mutex<Outliers>>,
     /// Answers to requests that named an idempotency key.
     pub answers: idempotency::Answers,
 }
@@ -44,9 +51,17 @@
 impl Entry {
     /// Makes the state that all traffic threads share.
     pub fn new(shared: Shared, control: Control) -> Self {
-        let budget = Arc::new(Mutex::new(Budget::new(Instant::now())));
+        let budget = Arc::new(Mutex::new(Budget::new(&retry::HOST, Instant::now())));
         let answers = idempotency::Answers::default();
-        Self { shared, control, in_flight: InFlight::default(), budget, answers }
+        Self {
+            shared,
+            control,
+            in_flight: InFlight::default(),
+            budget,
+            budgets: Arc::default(),
+            outliers: Arc::default(),
+            answers,
+        }
     }
 
     /// Earns a part of a retry for a new request.
@@ -59,6 +74,45 @@
         lock(&self.budget).spend(Instant::now())
     }
 
+    /// Earns a part of a retry for a new request to a routed service.
+    pub fn earn(&self, service: Service) {
+        self.with_budget(service, |budget, _now| budget.earn());
+    }
+
+    /// Takes one retry from a routed service's budget, or returns false when it is spent.
+    pub fn spend(&self, service: Service) -> bool {
+        self.with_budget(service, Budget::spend)
+    }
+
+    fn with_budget<T>(&self, service: Service, act: impl Fn(&mut Budget, Instant) -> T) -> T {
+        let now = Instant::now();
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        act(budgets.entry(service).or_insert_with(|| Budget::new(&retry::SERVICE, now)), now)
+    }
+
+    /// Upstreams of routed services that failed lately.
+    pub fn outliers(&self) -> MutexGuard<'_, Outliers> {
+        self.outliers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The load of registered upstreams, by this host's own work and what peers said of theirs.
+    pub fn known_loads(&self) -> Known {
+        let mut known = self.shared.loads.snapshot();
+        let now = Instant::now();
+        let hosts = self.shared.hosts();
+        for member in hosts.members().filter(|member| member.is_alive(now)) {
+            for (upstream, load) in &member.record.loads {
+                known.entry(*upstream).or_default().add(*load);
+            }
+        }
+        known
+    }
+
+    /// The names of headers on routes.
+    pub fn names(&self) -> &'static crate::relay::dialect::Headers {
+        &self.shared.deployment.dialect.headers
+    }
+
     /// Logs, counts and answers a refusal.
     pub fn refuse(&self, request: Request, refusal: Refusal) -> HttpResponse {
         self.note_refusal(request, &refusal);
--- a/crates/damaskhatch/src/entry/refusal.rs
+++ b/crates/damaskhatch/src/entry/refusal.rs
@@ -43,7 +43,7 @@
     }
 
     /// The JSON body.
-    pub fn body(&self, request: Request) -> serde_json::Value {
+    pub fn body(&self, request: impl std::fmt::Display) -> serde_json::Value {
         let answer = self.kind.answer();
         json!({ "error": {
             "code": self.kind,
@@ -71,7 +71,8 @@
         response.json(self.body(request))
     }
 
-    fn wait(&self) -> Option<Duration> {
+    /// When to come back, where the kind advises it.
+    pub fn wait(&self) -> Option<Duration> {
         let advised = self.kind.answer().advice == Advice::RetryAfter;
         advised.then(|| self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER))
     }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -8,26 +8,28 @@
 
 use actix::Arbiter;
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpServer, web};
+use actix_web::{App, HttpResponse, HttpServer, web};
 use damaskhatch_policy::config::Snapshot;
+use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::prelude::Tag;
+use damaskhatch_policy::registry::Registry;
 use damaskhatch_wire::frame::{Codec, wall_ms};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
 
-use crate::control::Control;
 use crate::control::configuration::{Archive, answer};
 use crate::control::membership::first_view;
+use crate::control::{Control, Publishers};
 use crate::decision::Journal;
+use crate::deployment::Deployment;
 use crate::entry::{self, Entry, closed};
 use crate::metrics::Metrics;
 use crate::operator::{self, Operator};
 use crate::peers::{Datagrams, Outbox, serve};
+use crate::relay::{self, load::Loads};
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-/// How long a leaving host still takes callers whose balancer has not noticed.
-const NOTICE: Duration = Duration::from_secs(1);
 /// How long a leaving host waits for others to take its bucket slots.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 /// How long an idle connection of a caller is kept.
@@ -36,13 +38,15 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Runs a host until it is told to stop and has finished its streams.
-pub async fn run(settings: Settings) -> io::Result<()> {
+pub async fn run(settings: Settings, deployment: Deployment) -> io::Result<()> {
     let incarnation = wall_ms();
     let host = Tag::of(&settings.host.name);
     let (outbox, outgoing) = Outbox::new();
     let (config, config_seen) = watch::channel(Arc::new(Snapshot::default()));
     let domain = Tag::of(&settings.host.domain);
     let (view, view_seen) = watch::channel(Arc::new(first_view(&settings, incarnation)));
+    let (registry, registry_seen) = watch::channel(Arc::new(Registry::default()));
+    let (freshness, freshness_seen) = watch::channel(Freshness::default());
     let shared = Shared {
         host,
         domain,
@@ -52,6 +56,10 @@
         journal: Journal::default(),
         config: config_seen,
         view: view_seen,
+        registry: registry_seen,
+        freshness: freshness_seen,
+        loads: Loads::default(),
+        deployment,
         draining: Arc::new(AtomicBool::new(false)),
         serial: Arc::new(AtomicU64::new(1)),
         settings: Arc::new(settings),
@@ -64,7 +72,8 @@
     let socket = UdpSocket::bind(settings.host.peer).await?;
     let listener = TcpListener::bind(settings.host.peer).await?;
     let thread = Arbiter::new();
-    let control = Control::start(&thread, &shared, &codec, &archive, config, view);
+    let publish = Publishers { config, view, registry, freshness };
+    let control = Control::start(&thread, &shared, &codec, &archive, publish);
     let deliver = control.clone();
     let datagrams = Datagrams {
         socket,
@@ -82,6 +91,7 @@
     let stop = Arc::new(Notify::new());
     let operators = start_operators(&shared, &control, &stop)?;
     let callers = start_callers(&shared, &control)?;
+    start_readiness(&shared)?;
     log::info!(
         "event=started host={} domain={} caller={} operator={} peer={}",
         settings.host.name,
@@ -101,21 +111,45 @@
 fn start_callers(shared: &Shared, control: &Control) -> io::Result<ServerHandle> {
     let settings = &shared.settings;
     let state = web::Data::new(Entry::new(shared.clone(), control.clone()));
-    let server =
-        HttpServer::new(move || App::new().app_data(state.clone()).configure(entry::configure))
-            .on_connect(closed::on_connect)
-            .workers(settings.host.workers as usize)
-            .keep_alive(KEEP_ALIVE)
-            .client_request_timeout(REQUEST_TIMEOUT)
-            .shutdown_timeout(settings.limits.drain_s)
-            .disable_signals()
-            .bind(settings.host.caller)?
-            .run();
+    let is_routed = shared.deployment.catalogue.is_some();
+    let configure = if is_routed { relay::configure } else { entry::configure };
+    let server = HttpServer::new(move || App::new().app_data(state.clone()).configure(configure))
+        .on_connect(closed::on_connect)
+        .workers(settings.host.workers as usize)
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(REQUEST_TIMEOUT)
+        .shutdown_timeout(settings.limits.drain_s)
+        .disable_signals()
+        .bind(settings.host.caller)?
+        .run();
     let handle = server.handle();
     actix_rt::spawn(server);
     Ok(handle)
 }
 
+/// Answers a balancer whether this host takes callers.
+fn start_readiness(shared: &Shared) -> io::Result<()> {
+    let Some(address) = shared.settings.host.ready else {
+        return Ok(());
+    };
+    let path = shared.settings.host.ready_path.clone();
+    let state = web::Data::new(shared.clone());
+    let server = HttpServer::new(move || {
+        App::new().app_data(state.clone()).route(&path, web::get().to(readiness))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)?
+    .run();
+    actix_rt::spawn(server);
+    Ok(())
+}
+
+async fn readiness(shared: web::Data<Shared>) -> HttpResponse {
+    let is_ready = !shared.is_draining() && shared.snapshot().revision > 0;
+    if is_ready { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
+}
+
 fn start_operators(
     shared: &Shared,
     control: &Control,
@@ -151,7 +185,7 @@
 async fn drain(shared: &Shared, callers: &ServerHandle) {
     log::info!("event=draining in_flight={}", shared.metrics.in_flight.get());
     shared.draining.store(true, Ordering::Relaxed);
-    tokio::time::sleep(NOTICE).await;
+    tokio::time::sleep(Duration::from_millis(shared.settings.limits.notice_ms)).await;
     let limit = Duration::from_secs(shared.settings.limits.drain_s);
     let started = tokio::time::Instant::now();
     let stopping = callers.stop(true);
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -6,9 +6,11 @@
 //! [docs/DESIGN.md](../../../docs/DESIGN.md).
 
 pub mod cli;
+pub mod clock;
 pub mod config_pull;
 pub mod control;
 pub mod decision;
+pub mod deployment;
 pub mod diff;
 pub mod entry;
 pub mod host;
@@ -16,6 +18,7 @@
 pub mod operator;
 pub mod peers;
 pub mod prelude;
+pub mod relay;
 pub mod settings;
 pub mod shared;
 pub mod supervise;
--- a/crates/damaskhatch/src/operator.rs
+++ b/crates/damaskhatch/src/operator.rs
@@ -1,10 +1,10 @@
 //! The operators' HTTP interface, which the `damaskhatch` tool speaks.
 
 use actix_web::{HttpResponse, web};
-use damaskhatch_platform::error::Error;
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::sheet;
+use damaskhatch_store::error::Error;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -63,6 +63,13 @@
     }
 }
 
+impl Value for Vec<String> {
+    fn read(text: &str) -> Result<Self, String> {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        Ok(parts.map(str::to_owned).collect())
+    }
+}
+
 impl Value for Vec<SocketAddr> {
     fn read(text: &str) -> Result<Self, String> {
         let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
@@ -208,10 +215,15 @@
         seeds: Vec<SocketAddr>, Some(""), any, "peer addresses to try first, by commas";
         secret: String, None, long_enough, "the secret that all hosts share, 16 bytes or more";
         workers: u64, Some("2"), within(1..=64), "traffic threads";
+        ready: Option<SocketAddr>, Some(""), any,
+            "where a balancer asks whether the host takes callers, IP:PORT";
+        ready_path: String, Some("/ready"), any, "the path of that question";
+        domains: Vec<String>, Some(""), any,
+            "the failure domains, by commas, where no sheet names them";
     }
     /// The platform's key-value service and host list.
     platform: Platform {
-        address: String, None, any, "the platform's address, IP:PORT";
+        address: SocketAddr, None, any, "the address of the platform's store, IP:PORT";
     }
     /// What a request may ask for and wait.
     limits: Limits {
@@ -225,6 +237,10 @@
             "how long a request may wait for engines, in milliseconds";
         plain_timeout_ms: u64, Some("30000"), within(100..=3_600_000),
             "how long a plain service may take to answer, in milliseconds";
+        notice_ms: u64, Some("1000"), within(0..=60_000),
+            "how long a leaving host still takes callers, in milliseconds";
+        key_freshness_ms: u64, Some("0"), within(0..=3_600_000),
+            "the age of the configuration up to which keys are good, in milliseconds; 0: no limit";
         drain_s: u64, Some("300"), within(1..=86_400),
             "how long a graceful stop waits for streams, in seconds";
     }
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -4,13 +4,18 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use damaskhatch_policy::config::Snapshot;
+use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::registry::Registry;
+use damaskhatch_store::prelude::Client;
 use tokio::sync::watch;
 
 use crate::decision::Journal;
+use crate::deployment::Deployment;
 use crate::metrics::Metrics;
 use crate::peers::Outbox;
+use crate::relay::load::Loads;
 use crate::settings::Settings;
 
 /// What every part of a host may read.
@@ -34,6 +39,14 @@
     pub config: watch::Receiver<Arc<Snapshot>>,
     /// The hosts as this one sees them.
     pub view: watch::Receiver<Arc<View>>,
+    /// The upstreams that registered themselves.
+    pub registry: watch::Receiver<Arc<Registry>>,
+    /// When the configuration was last known to be the newest.
+    pub freshness: watch::Receiver<Freshness>,
+    /// Work that this host has under way at each upstream.
+    pub loads: Loads,
+    /// What differs between the places that the host may run in.
+    pub deployment: Deployment,
     /// Whether the host takes no new callers because it is leaving.
     pub draining: Arc<AtomicBool>,
     /// Counts requests.
@@ -51,6 +64,22 @@
         Arc::clone(&self.view.borrow())
     }
 
+    /// The registered upstreams as of now.
+    pub fn upstreams(&self) -> Arc<Registry> {
+        Arc::clone(&self.registry.borrow())
+    }
+
+    /// A client of the platform's store.
+    pub fn store(&self) -> Client {
+        self.deployment.store(self.settings.platform.address)
+    }
+
+    /// Whether keys may be accepted, by the age of the configuration.
+    pub fn are_keys_fresh(&self) -> bool {
+        let limit = Duration::from_millis(self.settings.limits.key_freshness_ms);
+        limit.is_zero() || self.freshness.borrow().is_fresh(crate::clock::boot(), limit)
+    }
+
     /// A new request id.
     pub fn next_request(&self) -> Request {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
--- a/crates/policy/src/config/snapshot.rs
+++ b/crates/policy/src/config/snapshot.rs
@@ -3,7 +3,8 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::prelude::*;
-use crate::sheet::{self, Role, Row};
+use crate::routing::Table;
+use crate::sheet::{self, EngineTerms, Role, Row};
 
 /// A domain in force.
 #[derive(Debug, Clone, PartialEq)]
@@ -29,6 +30,12 @@
     pub burst: f64,
     /// The services it may call.
     pub services: HashSet<Service>,
+    /// Tokens that a request costs which names no number of its own.
+    pub plain_tokens: u32,
+    /// Whether rate and burst apply.
+    pub is_limited: bool,
+    /// The rank of its requests in place of their route's, 0 first.
+    pub priority: Option<u8>,
 }
 
 /// A service in force.
@@ -46,6 +53,8 @@
     pub repeatable: bool,
     /// Its upstreams.
     pub upstreams: Vec<Upstream>,
+    /// What its engines hold, if it is a model.
+    pub engines: Option<EngineTerms>,
 }
 
 /// An upstream in force.
@@ -89,6 +98,8 @@
     pub services: Map<Service, ServiceEntry>,
     /// The upstreams by index.
     pub upstreams: Map<Upstream, UpstreamEntry>,
+    /// The routes by host and prefix.
+    pub routes: Table,
     names: Names,
     keys: HashMap<String, Team>,
     withdrawn: HashSet<String>,
@@ -168,6 +179,7 @@
     fn emptied(&self) -> Self {
         let mut kept = self.clone();
         kept.keys.clear();
+        kept.routes = Table::default();
         kept.domains.iter_mut().for_each(|(_, domain)| domain.share = 0.0);
         for (_, team) in kept.teams.iter_mut() {
             (team.rate, team.burst) = (0.0, 0.0);
@@ -191,8 +203,16 @@
             Row::Team { name, rate, burst } => {
                 let tag = Tag::of(name);
                 let services = HashSet::new();
-                let entry =
-                    TeamEntry { name: name.clone(), tag, rate: *rate, burst: *burst, services };
+                let entry = TeamEntry {
+                    name: name.clone(),
+                    tag,
+                    rate: *rate,
+                    burst: *burst,
+                    services,
+                    plain_tokens: 1,
+                    is_limited: true,
+                    priority: None,
+                };
                 place(&mut self.names.teams, &mut self.teams, tag, entry);
             }
             Row::Service { name, kind, open, repeatable } => {
@@ -204,6 +224,7 @@
                     open: *open,
                     repeatable: *repeatable,
                     upstreams: Vec::new(),
+                    engines: None,
                 };
                 place(&mut self.names.services, &mut self.services, tag, entry);
             }
@@ -222,7 +243,8 @@
             Row::Withdrawn { digest } => {
                 self.withdrawn.insert(digest.clone());
             }
-            Row::Grant { .. } | Row::Key { .. } => {}
+            Row::Route(route) => self.routes.insert(route),
+            Row::Grant { .. } | Row::Key { .. } | Row::Engines { .. } | Row::Tariff { .. } => {}
         }
     }
 
@@ -241,6 +263,19 @@
                     self.teams[team].services.insert(service);
                 }
             }
+            Row::Engines { service, terms } => {
+                if let Some(service) = self.service(Tag::of(service)) {
+                    self.services[service].engines = Some(*terms);
+                }
+            }
+            Row::Tariff { team, plain_tokens, is_limited, priority } => {
+                if let Some(team) = self.team(Tag::of(team)) {
+                    let entry = &mut self.teams[team];
+                    entry.plain_tokens = *plain_tokens;
+                    entry.is_limited = *is_limited;
+                    entry.priority = *priority;
+                }
+            }
             Row::Key { digest, team } => {
                 if let Some(team) = self.team(Tag::of(team)) {
                     self.keys.insert(digest.clone(), team);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,16 +5,23 @@
 //! the property tests and the measurements all drive the same code. The shape is
 //! explained in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+pub mod admission;
+pub mod attempt;
 pub mod bucket;
 pub mod config;
 pub mod error;
+pub mod freshness;
 pub mod id;
 pub mod macros;
 pub mod membership;
+pub mod outlier;
+pub mod placement;
 pub mod quota;
+pub mod registry;
 pub mod rendezvous;
 pub mod retry;
 pub mod route;
+pub mod routing;
 pub mod schedule;
 pub mod sheet;
 pub mod strike;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -10,6 +10,7 @@
 
 use rand::seq::IndexedRandom;
 
+use crate::placement::Load;
 use crate::prelude::*;
 
 /// The time between two heartbeats of a host.
@@ -56,7 +57,9 @@
         pub slots: u64,
         /// The headroom of the schedulers it holds.
         pub headroom: Vec<Headroom>,
-        /// Upstreams that it knows to be leaving, from the platform's list or their own word.
+        /// Work that it has under way at registered upstreams.
+    pub loads: Vec<(Tag, Load)>,
+    /// Upstreams that it knows to be leaving, from the platform's list or their own word.
         pub leaving_upstreams: Vec<Tag>,
     }
 }
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,102 @@
+//! Which upstream a routed request is sent to.
+//!
+//! Answers the pattern of many hosts that each see only a part of the traffic:
+//! the load of an upstream is what this host has under way there plus what its
+//! peers last said of theirs, and a reservation at the engine itself decides in
+//! the end. Of upstreams with equal load the own domain's is taken, then one at
+//! random, so that hosts do not all turn to the same.
+
+use std::collections::HashMap;
+
+use rand::RngExt;
+
+use crate::prelude::*;
+use crate::registry::Entry;
+
+plain! { value
+    /// Work under way at an upstream.
+    #[derive(Default, Eq)]
+    pub struct Load {
+        /// Requests or streams.
+        pub requests: u32,
+        /// Tokens of memory that they hold or have reserved.
+        pub memory_tokens: u32,
+        /// Prompt tokens that wait for their prefill or are in it.
+        pub prefill_tokens: u32,
+    }
+}
+
+impl Load {
+    /// Adds further work.
+    pub const fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.memory_tokens += other.memory_tokens;
+        self.prefill_tokens += other.prefill_tokens;
+    }
+
+    /// Takes work away that has ended.
+    pub const fn remove(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+        self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
+    }
+
+    /// Whether there is no work.
+    pub const fn is_empty(&self) -> bool {
+        self.requests == 0 && self.memory_tokens == 0 && self.prefill_tokens == 0
+    }
+}
+
+/// The load of all upstreams as one host knows it.
+pub type Known = HashMap<Tag, Load>;
+
+/// Orders upstreams by what `weigh` says of their load, the best first.
+fn by_load<'a>(
+    candidates: impl Iterator<Item = &'a Entry>,
+    known: &Known,
+    domain: Tag,
+    rng: &mut impl rand::Rng,
+    weigh: impl Fn(&Load, &Entry) -> u64,
+) -> Vec<&'a Entry> {
+    let mut ranked: Vec<_> = candidates
+        .map(|entry| {
+            let load = known.get(&entry.tag).copied().unwrap_or_default();
+            let draw: u32 = rng.random();
+            ((weigh(&load, entry), entry.domain != domain, draw), entry)
+        })
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.into_iter().map(|(_, entry)| entry).collect()
+}
+
+/// Decode engines in the order in which to ask them for a reservation.
+pub fn decode<'a>(
+    candidates: impl Iterator<Item = &'a Entry>,
+    known: &Known,
+    domain: Tag,
+    rng: &mut impl rand::Rng,
+) -> Vec<&'a Entry> {
+    by_load(candidates, known, domain, rng, |load, _| u64::from(load.memory_tokens))
+}
+
+/// Prefill engines, that with the least prompt tokens ahead first.
+pub fn prefill<'a>(
+    candidates: impl Iterator<Item = &'a Entry>,
+    known: &Known,
+    domain: Tag,
+    rng: &mut impl rand::Rng,
+) -> Vec<&'a Entry> {
+    by_load(candidates, known, domain, rng, |load, _| u64::from(load.prefill_tokens))
+}
+
+/// Plain upstreams, that with the least requests for its slots first.
+pub fn plain<'a>(
+    candidates: impl Iterator<Item = &'a Entry>,
+    known: &Known,
+    domain: Tag,
+    rng: &mut impl rand::Rng,
+) -> Vec<&'a Entry> {
+    by_load(candidates, known, domain, rng, |load, entry| {
+        u64::from(load.requests) * 1_000 / u64::from(entry.slots.max(1))
+    })
+}
--- a/crates/policy/src/sheet/mod.rs
+++ b/crates/policy/src/sheet/mod.rs
@@ -9,7 +9,7 @@
 
 pub mod row;
 
-pub use row::{Kind, Role, Row};
+pub use row::{EngineTerms, Kind, Role, Row};
 
 /// The columns that a sheet may have, in any order.
 pub const COLUMNS: [&str; 12] = [
--- a/crates/policy/src/sheet/row.rs
+++ b/crates/policy/src/sheet/row.rs
@@ -1,6 +1,7 @@
 //! The records of a configuration.
 
 use crate::plain;
+use crate::routing::Route;
 
 plain! { value
     /// What a service's upstreams are.
@@ -30,6 +31,23 @@
     }
 }
 
+plain! { value
+    /// What every engine of a model service can hold.
+    #[derive(Default)]
+    pub struct EngineTerms {
+        /// Requests that an engine decodes at once.
+        pub slots: u32,
+        /// Tokens of KV cache that an engine's memory holds.
+        pub memory_tokens: u32,
+        /// How long an exported KV cache is kept, in milliseconds.
+        pub export_ttl_ms: u32,
+        /// The longest reservation, in milliseconds.
+        pub reservation_ms: u32,
+        /// How long an engine takes to change its role, in milliseconds.
+        pub role_change_ms: u32,
+    }
+}
+
 plain! { data
     /// One record of a configuration.
     pub enum Row {
@@ -75,6 +93,26 @@
             /// Whether it refuses orders with an old fencing number.
             fenced: bool,
         },
+        /// What the engines of a model service can hold.
+        Engines {
+            /// The service.
+            service: String,
+            /// What each holds.
+            terms: EngineTerms,
+        },
+        /// How a team's requests are counted and ranked.
+        Tariff {
+            /// The team.
+            team: String,
+            /// Tokens that a request costs which names no number of its own.
+            plain_tokens: u32,
+            /// Whether the team has a rate at all.
+            is_limited: bool,
+            /// The rank of the team's requests in place of their route's, 0 first.
+            priority: Option<u8>,
+        },
+        /// Where requests for a host and path prefix go.
+        Route(Route),
         /// Leave for a team to call a service.
         Grant {
             /// The team.
@@ -110,6 +148,9 @@
             Self::Team { name, .. } => format!("team {name}"),
             Self::Service { name, .. } => format!("service {name}"),
             Self::Upstream { name, .. } => format!("upstream {name}"),
+            Self::Engines { service, .. } => format!("engines {service}"),
+            Self::Tariff { team, .. } => format!("tariff {team}"),
+            Self::Route(route) => format!("route {} {}", route.host, route.prefix),
             Self::Grant { team, service } => format!("grant {team} {service}"),
             Self::Key { digest, .. } => format!("key {digest}"),
             Self::Withdrawn { digest } => format!("withdrawn {digest}"),
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -31,6 +31,7 @@
         epoch: 1,
         slots: 0,
         headroom: Vec::new(),
+        loads: Vec::new(),
         leaving_upstreams: Vec::new(),
     };
     View::new(own, vec![address(0), address(1), address(2)])
--- a/crates/standins/src/bin/damaskhatch-demo.rs
+++ b/crates/standins/src/bin/damaskhatch-demo.rs
@@ -46,7 +46,7 @@
                 let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
                 io::Error::other(lines.join("\n"))
             })?;
-            damaskhatch::host::run(settings).await
+            damaskhatch::host::run(settings, damaskhatch::deployment::Deployment::OWN).await
         }
         Part::Load(args) => {
             let report = load::run(args.into()).await;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_web::{App, HttpResponse, HttpServer, web};
-use damaskhatch_platform::message::{Host, Item, Lease, Swap, Term, Version};
+use damaskhatch_store::message::{Host, Item, Lease, Swap, Term, Version};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,145 @@
+//! One HTTP call each, with a time limit.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use damaskhatch_exchange as exchange;
+
+use crate::error::{Error, Result};
+use crate::message::{Host, Item, Listing, Swap};
+use crate::protocol::{Call, Protocol, Reply, Request};
+
+/// How long a call may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The largest answer, in bytes; values hold up to a megabyte, base64 adds a third.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// A client of the store at one address.
+#[derive(Debug, Clone, Copy)]
+pub struct Client {
+    address: SocketAddr,
+    protocol: Protocol,
+}
+
+impl Client {
+    /// Makes a client for the store at `address`, IP and port.
+    pub const fn new(address: SocketAddr, protocol: Protocol) -> Self {
+        Self { address, protocol }
+    }
+
+    /// Whether the hosts write their own entries of the list of hosts.
+    pub const fn hosts_announce(&self) -> bool {
+        self.protocol.hosts_announce
+    }
+
+    /// Reads a key.
+    pub async fn get(&self, key: &str) -> Result<Item> {
+        self.item(Call::Get(key), Duration::ZERO).await
+    }
+
+    /// Reads all keys under a prefix, page by page.
+    pub async fn list(&self, prefix: &str, may_be_stale: bool) -> Result<Listing> {
+        let mut all = Listing::default();
+        loop {
+            let last = all.items.last().map(|(key, _)| key.clone());
+            let call = Call::List { prefix, after: last.as_deref(), may_be_stale };
+            let page = self.listing(call, Duration::ZERO).await?;
+            // Pages are no snapshot; a watch from the oldest page misses nothing.
+            all.version = if last.is_none() { page.version } else { all.version };
+            let is_stuck = page.items.is_empty();
+            all.items.extend(page.items);
+            if !page.is_truncated || is_stuck {
+                return Ok(all);
+            }
+        }
+    }
+
+    /// Waits until a key has a version above `after`, or `wait` is over.
+    pub async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Item> {
+        self.item(Call::Watch { prefix: key, after, wait }, wait).await
+    }
+
+    /// Waits for changes under a prefix after a version, or until `wait` is over.
+    pub async fn changes(&self, prefix: &str, after: u64, wait: Duration) -> Result<Listing> {
+        self.listing(Call::Watch { prefix, after, wait }, wait).await
+    }
+
+    /// Writes a key if it has the expected version; returns the new one.
+    pub async fn swap(&self, key: &str, swap: &Swap) -> Result<u64> {
+        match self.call(Call::Swap(key, swap), Duration::ZERO).await? {
+            Reply::Version(version) => Ok(version),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Takes a lease.
+    pub async fn lease(&self, ttl: Duration) -> Result<u64> {
+        match self.call(Call::Lease(ttl), Duration::ZERO).await? {
+            Reply::Lease(lease) => Ok(lease),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// Renews a lease.
+    pub async fn renew(&self, lease: u64) -> Result<()> {
+        self.call(Call::Renew(lease), Duration::ZERO).await.map(drop)
+    }
+
+    /// Ends a lease and the keys that hang on it.
+    pub async fn revoke(&self, lease: u64) -> Result<()> {
+        self.call(Call::Revoke(lease), Duration::ZERO).await.map(drop)
+    }
+
+    /// Reads the lagging list of hosts.
+    pub async fn hosts(&self) -> Result<Vec<Host>> {
+        match self.call(Call::Hosts, Duration::ZERO).await? {
+            Reply::Hosts(hosts) => Ok(hosts),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn item(&self, call: Call<'_>, wait: Duration) -> Result<Item> {
+        match self.call(call, wait).await? {
+            Reply::Item(item) => Ok(item),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn listing(&self, call: Call<'_>, wait: Duration) -> Result<Listing> {
+        match self.call(call, wait).await? {
+            Reply::Listing(listing) => Ok(listing),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn call(&self, call: Call<'_>, wait: Duration) -> Result<Reply> {
+        let Request { method, target, body } =
+            (self.protocol.encode)(&call).ok_or(Error::Unsupported)?;
+        let mut request = exchange::Request::builder()
+            .method(method)
+            .uri(target)
+            .header("host", self.address.to_string());
+        if !body.is_empty() {
+            request = request.header("content-type", "application/json");
+        }
+        let request = request.body(Bytes::from(body));
+        let request = request.map_err(|error| Error::Malformed(error.to_string()))?;
+        let answered = tokio::time::timeout(wait + CALL_TIMEOUT, async {
+            let mut answer = exchange::send(self.address, CONNECT_TIMEOUT, request).await?;
+            let body = answer.whole(MAX_ANSWER_BYTES).await?;
+            Ok::<_, exchange::Error>((answer.head.status, body))
+        });
+        let (status, body) = answered
+            .await
+            .map_err(|elapsed| Error::Unreachable(elapsed.to_string()))?
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        (self.protocol.decode)(&call, status, &body)
+    }
+}
+
+fn unexpected(reply: &Reply) -> Error {
+    Error::Malformed(format!("the answer belongs to another call: {reply:?}"))
+}
--- a/crates/platform/src/message.rs
+++ b/crates/store/src/message.rs
@@ -1,4 +1,4 @@
-//! The JSON bodies of the platform's HTTP interface.
+//! The JSON bodies of the store's HTTP interface.
 
 use std::net::SocketAddr;
 
@@ -13,6 +13,17 @@
     pub version: u64,
 }
 
+/// Keys under a prefix, or what changed there.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Keys with their values; `None` for a key that was removed.
+    pub items: Vec<(String, Option<Item>)>,
+    /// The version of the store up to which this is complete.
+    pub version: u64,
+    /// Whether more keys follow on another page.
+    pub is_truncated: bool,
+}
+
 /// A compare-and-swap.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Swap {
