--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -10,6 +10,7 @@
 pub mod quota;
 pub mod roster;
 pub mod scheduling;
+pub mod stages;
 pub mod strikes;
 
 use actix::{Addr, Arbiter, Supervisor};
@@ -114,6 +115,10 @@
                 listing::Listing::new(shared, catalogue, registry)
             });
         }
+        if shared.settings.schedule.prefill_percent > 0 {
+            let shared = shared.clone();
+            Supervisor::start_in_arbiter(&thread, |_| stages::Stages::new(shared));
+        }
         Self { membership, configuration, quota, roster, scheduling, claims, strikes }
     }
 
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -100,6 +100,7 @@
         settings.host.operator,
         settings.host.peer
     );
+    actix_rt::spawn(reload(settings.clone()));
     wait_for_stop(&stop).await;
     drain(&shared, &callers).await;
     operators.stop(false).await;
@@ -181,6 +182,24 @@
     }
 }
 
+/// Reads the settings again at each hang-up signal.
+///
+/// What a process binds and trusts is fixed at its start, so changes are only
+/// checked and named here; they take effect with the next start.
+async fn reload(running: Arc<Settings>) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut hang_up = signal(SignalKind::hangup()).expect("the signal can be handled");
+    while hang_up.recv().await.is_some() {
+        match Settings::load(&running.file) {
+            Ok(settings) if settings == *running => log::info!("event=reload result=unchanged"),
+            Ok(_changed) => log::warn!("event=reload result=changed effect=next_start"),
+            Err(faults) => {
+                faults.iter().for_each(|fault| log::error!("event=reload result=bad {fault}"));
+            }
+        }
+    }
+}
+
 /// Takes no new roles, lets the balancer notice, then finishes every stream.
 async fn drain(shared: &Shared, callers: &ServerHandle) {
     log::info!("event=draining in_flight={}", shared.metrics.in_flight.get());
--- a/crates/damaskhatch/src/relay/events.rs
+++ b/crates/damaskhatch/src/relay/events.rs
@@ -49,5 +49,5 @@
 fn last_id(events: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(events).ok()?;
     let ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
-    ids.filter_map(|id| id.trim().parse().ok()).last()
+    ids.rev().find_map(|id| id.trim().parse().ok())
 }
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -167,6 +167,8 @@
         /// All settings of a daemon.
         #[derive(Debug, Clone, PartialEq)]
         pub struct Settings {
+            /// The file that they were read from.
+            pub file: std::path::PathBuf,
             $( $(#[doc = $about])+ pub $section: $Section, )+
         }
 
@@ -183,7 +185,9 @@
                     });
                 )+
                 match ($( $section, )+) {
-                    ($( Some($section), )+) if faults.is_empty() => Ok(Self { $( $section, )+ }),
+                    ($( Some($section), )+) if faults.is_empty() => {
+                        Ok(Self { file: file.into(), $( $section, )+ })
+                    },
                     _ => Err(faults),
                 }
             }
@@ -248,6 +252,8 @@
     schedule: Schedule {
         late_reserve_percent: u64, Some("4"), within(0..=50),
             "decode slots that late requests leave free, in percent; more favours goodput";
+        prefill_percent: u64, Some("0"), within(0..=90),
+            "engines of a model that prefill, in percent; 0 leaves every engine's role as it is";
         last_call_ms: u64, Some("2000"), within(0..=600_000),
             "how long before its patience ends a late request may use them, in milliseconds";
         burst_credit_ms: u64, Some("4000"), within(0..=600_000),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod routing;
 pub mod schedule;
 pub mod sheet;
+pub mod stages;
 pub mod strike;
 pub mod tenure;
 
