--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use damaskhatch_policy::length::Forecast;
 use damaskhatch_policy::outlier::Outliers;
 use damaskhatch_policy::placement::Known;
 use damaskhatch_policy::prelude::*;
@@ -44,6 +45,8 @@
     pub budgets: Arc<Mutex<HashMap<Service, Budget>>>,
     /// Upstreams of routed services that failed lately.
     pub outliers: Arc<Mutex<Outliers>>,
+    /// The lengths of the answers of routed models.
+    pub lengths: Arc<Mutex<HashMap<Service, Forecast>>>,
     /// Answers to requests that named an idempotency key.
     pub answers: idempotency::Answers,
 }
@@ -60,6 +63,7 @@
             budget,
             budgets: Arc::default(),
             outliers: Arc::default(),
+            lengths: Arc::default(),
             answers,
         }
     }
@@ -95,6 +99,12 @@
         self.outliers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What was learned of the lengths of a service's answers.
+    pub fn with_lengths<T>(&self, service: Service, act: impl FnOnce(&mut Forecast) -> T) -> T {
+        let mut lengths = self.lengths.lock().unwrap_or_else(PoisonError::into_inner);
+        act(lengths.entry(service).or_default())
+    }
+
     /// The load of registered upstreams, by this host's own work and what peers said of theirs.
     pub fn known_loads(&self) -> Known {
         let mut known = self.shared.loads.snapshot();
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -40,7 +40,7 @@
     let snapshot = entry.shared.snapshot();
     let service = &snapshot.services[routed.service];
     let terms = service.engines.unwrap_or_default();
-    let tokens = routed.tokens.unwrap_or(Tokens { prompt: 0, most_output: 0, hint: None });
+    let tokens = routed.tokens.unwrap_or_default();
     let urgency = routed.priority(&snapshot);
     let mut history = History::default();
     let mut avoid = HashSet::new();
@@ -65,7 +65,7 @@
                 if let Some(mut export) = export {
                     export.is_used = true;
                 }
-                return respond(entry, routed, reservation, answer).await;
+                return respond(entry, routed, reservation, answer, terms.event_tokens).await;
             }
             Err(failure) => failure,
         };
@@ -92,7 +92,10 @@
     tokens: Tokens,
     avoid: &HashSet<Tag>,
 ) -> Result<Reservation, Refusal> {
-    let memory = admission::memory(tokens.prompt, tokens.most_output, tokens.hint);
+    let Tokens { prompt, most_output, hint } = tokens;
+    let memory = entry.with_lengths(routed.service, |forecast| {
+        admission::memory(forecast, prompt, most_output, hint)
+    });
     let patience = admission::patience(routed.route.target_latency);
     let give_up = (routed.arrived + patience).min(routed.limit);
     loop {
@@ -188,6 +191,7 @@
     routed: Routed,
     reservation: Reservation,
     mut answer: Answer,
+    event_tokens: u32,
 ) -> Result<HttpResponse, Refusal> {
     let mut response = begin(&answer.head);
     if answer.head.status.is_success() {
@@ -196,6 +200,7 @@
             routed,
             reservation,
             answer,
+            event_tokens,
         })));
     }
     let status = answer.head.status.as_u16();
@@ -212,11 +217,15 @@
     let team = routed.caller.as_ref().map_or("none", |caller| caller.name.as_str());
     let prefill = export.map_or("none", |export| export.engine.instance.as_str());
     let waited = routed.arrived.elapsed().as_millis();
+    let Tokens { prompt, most_output, hint } = routed.tokens.unwrap_or_default();
     entry.shared.journal.record(
         &routed.label,
         format_args!(
-            "event=route team={team} route={} decode={} prefill={prefill} waited_ms={waited}",
-            routed.route.name, decode.instance
+            "event=route team={team} route={} decode={} prefill={prefill} waited_ms={waited} \
+             prompt={prompt} most_output={most_output} hint={}",
+            routed.route.name,
+            decode.instance,
+            hint.unwrap_or(0)
         ),
     );
 }
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -31,7 +31,7 @@
 ];
 
 /// The tokens that a request names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Tokens {
     /// Tokens of the prompt.
     pub prompt: u32,
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -23,6 +23,8 @@
     pub reservation: Reservation,
     /// The engine's answer.
     pub answer: Answer,
+    /// Tokens that one event carries.
+    pub event_tokens: u32,
 }
 
 #[derive(Debug)]
@@ -71,6 +73,7 @@
                 None => {
                     let rest = self.splitter.rest();
                     if rest.is_empty() {
+                        self.learn();
                         self.end("complete");
                         return Ok(None);
                     }
@@ -87,6 +90,17 @@
         }
     }
 
+    /// Takes in the length of a whole answer.
+    fn learn(&self) {
+        let Parts { entry, routed, event_tokens, .. } = &self.parts;
+        if let (Some(tokens), Some(last)) = (routed.tokens, self.splitter.last_id()) {
+            let actual = last as u32 * event_tokens;
+            entry.with_lengths(routed.service, |forecast| {
+                forecast.observe(tokens.most_output, tokens.hint, actual);
+            });
+        }
+    }
+
     fn end(&self, how: &str) {
         let Parts { entry, routed, reservation, .. } = &self.parts;
         let took = routed.arrived.elapsed().as_millis();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod freshness;
 pub mod id;
+pub mod length;
 pub mod macros;
 pub mod membership;
 pub mod outlier;
--- a/crates/policy/src/sheet/row.rs
+++ b/crates/policy/src/sheet/row.rs
@@ -39,6 +39,8 @@
         pub slots: u32,
         /// Tokens of KV cache that an engine's memory holds.
         pub memory_tokens: u32,
+        /// Tokens that one event of a stream carries.
+        pub event_tokens: u32,
         /// How long an exported KV cache is kept, in milliseconds.
         pub export_ttl_ms: u32,
         /// The longest reservation, in milliseconds.
