Notice at once that the store is back; wait for a charge that the team earns meanwhile

After all hosts were killed, streams were refused 429 with a wait of 0.3 s, though they may wait that long.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -37,6 +37,8 @@
 const FRESH_WATCH_TIME: Duration = Duration::from_secs(1);
 /// The pause after a failed or needless look at the platform.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// The pause after a failed look where the age of the configuration decides.
+const FRESH_FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// The time between two looks at what peers have.
 const PULL_INTERVAL: Duration = Duration::from_millis(100);
 /// The pause before an unconfirmed withdrawal is sent again.
@@ -124,12 +126,17 @@
             return;
         }
         let foreign = self.foreign();
-        let longest = if foreign.is_some() { FRESH_WATCH_TIME } else { WATCH_TIME };
+        let (longest, failed_pause) = if foreign.is_some() {
+            (FRESH_WATCH_TIME, FRESH_FAILED_PAUSE)
+        } else {
+            (WATCH_TIME, WATCH_PAUSE)
+        };
         let source = Source::Platform {
             client: self.client(),
             foreign,
             after: self.version,
-            wait: if self.version == 0 { Duration::ZERO } else { longest },
+            // A plain read notices sooner than a watch that the store is back.
+            wait: if self.version == 0 || !self.is_reachable { Duration::ZERO } else { longest },
         };
         let began = boot();
         let known = self.known_chunks();
@@ -152,7 +159,7 @@
                         // The store no longer has the history that the watch asked for.
                         actor.version = 0;
                     }
-                    WATCH_PAUSE
+                    failed_pause
                 }
             };
             ctx.run_later(pause, |actor, ctx| actor.watch(ctx));
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -4,6 +4,7 @@
 use actix_web::{HttpRequest, web};
 use bytes::Bytes;
 use damaskhatch_exchange::{HeaderMap, HeaderName, HeaderValue, Method};
+use damaskhatch_policy::admission;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::routing::Route;
@@ -129,7 +130,10 @@
     let body = read_body(entry, payload).await?;
     let id = entry.shared.next_request();
     let charged = match &caller {
-        Some(caller) => charge_tokens(entry, &snapshot, id, caller, tokens).await?,
+        Some(caller) => {
+            let patience = admission::patience(route.target_latency);
+            charge_tokens(entry, &snapshot, id, caller, tokens, patience).await?
+        }
         None => None,
     };
     Ok(Routed {
@@ -190,13 +194,24 @@
     id: Request,
     caller: &Caller,
     tokens: Option<Tokens>,
+    patience: Duration,
 ) -> Result<Option<Charged>, Refusal> {
     let team = caller.team.and_then(|team| snapshot.teams.get(team));
     let Some(team) = team.filter(|team| team.is_limited) else {
         return Ok(None);
     };
     let cost = tokens.map_or(team.plain_tokens, |tokens| tokens.prompt + tokens.most_output);
-    charge(entry, id, caller, f64::from(cost)).await
+    let first = charge(entry, id, caller, f64::from(cost)).await;
+    let wait = match &first {
+        Err(Refusal { kind: Kind::OverRate, retry_after: Some(wait), .. }) => *wait,
+        _ => return first,
+    };
+    if wait > patience {
+        return first;
+    }
+    // The team earns what is missing within the time that the request may wait anyway.
+    tokio::time::sleep(wait).await;
+    charge(entry, entry.shared.next_request(), caller, f64::from(cost)).await
 }
 
 /// The headers that every attempt passes on: never a key, nothing the system sets itself.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -13,7 +13,7 @@
 /// How long a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection may take to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The largest answer, in bytes; values hold up to a megabyte, base64 adds a third.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
