--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -93,7 +93,9 @@
     let status = head.status.as_u16();
     if head.headers.contains_key(names.not_run) || status == MISDIRECTED {
         let reason = format!("declined with status {status}");
-        return Err(Failure { outcome: Outcome::NotRun, reason, is_upstream_bad: false });
+        // Another upstream has the address, or this one has another role than listed.
+        let is_upstream_bad = status == MISDIRECTED;
+        return Err(Failure { outcome: Outcome::NotRun, reason, is_upstream_bad });
     }
     let echoed = head.headers.get(names.request).and_then(|id| id.to_str().ok());
     if echoed.is_some_and(|echoed| echoed != routed.label) {
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -151,6 +151,7 @@
             let (known, domain) = (entry.known_loads(), entry.shared.domain);
             placement::prefill(usable, &known, domain, &mut rand::rng()).first().copied().cloned()
         }?;
+
         // Further calls count against the retry budget, whatever became of the first.
         if number > 0 && !entry.spend(routed.service) {
             return None;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -11,7 +11,7 @@
 use crate::protocol::{Call, Protocol, Reply, Request};
 
 /// How long a call may take.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The largest answer, in bytes; values hold up to a megabyte, base64 adds a third.
