--- /dev/null
+++ b/crates/policy/tests/relay.rs
@@ -0,0 +1,291 @@
+//! The decisions behind routed requests: routes, attempts, budgets, memory, roles, keys.
+
+use damaskhatch_policy::attempt::{History, Outcome};
+use damaskhatch_policy::error;
+use damaskhatch_policy::freshness::{Boot, Freshness};
+use damaskhatch_policy::length::Forecast;
+use damaskhatch_policy::outlier::Outliers;
+use damaskhatch_policy::placement::{self, Load};
+use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::registry::Entry;
+use damaskhatch_policy::retry::{self, Budget};
+use damaskhatch_policy::routing::{Repeat, Route, Table, Target};
+use damaskhatch_policy::sheet::Role;
+use damaskhatch_policy::stages::{self, Pace};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Once,
+        time_limit: Duration::from_secs(4),
+        target_latency: Duration::from_millis(300),
+        priority: 1,
+        targets: vec![Target { service: "s".to_owned(), weight: 1.0 }],
+        max_attempts: 1,
+        open: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_decides_and_only_on_its_host() {
+    let mut table = Table::default();
+    for (name, prefix) in [("short", "/a/"), ("long", "/a/b/"), ("root", "/")] {
+        table.insert(&route(name, prefix));
+    }
+    let found = |host: &str, path: &str| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found("a.example", "/a/b/c"), Some("long"));
+    assert_eq!(found("a.example", "/a/b"), Some("short"));
+    assert_eq!(found("a.example", "/a/bc/d"), Some("short"));
+    assert_eq!(found("a.example", "/x"), Some("root"));
+    assert_eq!(found("b.example", "/a/b/c"), None);
+}
+
+#[test]
+fn weights_share_out_a_route() {
+    let mut split = route("split", "/");
+    split.targets = vec![
+        Target { service: "most".to_owned(), weight: 90.0 },
+        Target { service: "few".to_owned(), weight: 10.0 },
+        Target { service: "none".to_owned(), weight: 0.0 },
+    ];
+    let drawn: Vec<&str> = (0..100).filter_map(|n| split.service(f64::from(n) / 100.0)).collect();
+    assert_eq!(drawn.iter().filter(|service| **service == "most").count(), 90);
+    assert_eq!(drawn.iter().filter(|service| **service == "few").count(), 10);
+}
+
+fn outcomes() -> impl Strategy<Value = Vec<Outcome>> {
+    let one = prop_oneof![Just(Outcome::NotRun), Just(Outcome::Ran), Just(Outcome::Unknown)];
+    prop::collection::vec(one, 1..8)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_request_that_may_have_run_is_neither_repeated_nor_denied(
+        outcomes in outcomes(),
+        max_attempts in 1_u32..4,
+    ) {
+        let mut history = History::default();
+        let mut ran = false;
+        for outcome in outcomes {
+            history.note(outcome);
+            ran |= outcome != Outcome::NotRun;
+            for repeat in [Repeat::Once, Repeat::Stream] {
+                prop_assert!(!(ran && history.may_repeat(repeat, max_attempts)));
+            }
+            for is_late in [false, true] {
+                let answer = history.failure(is_late).answer();
+                let promises_not_run = matches!(answer.status, 408 | 421 | 429 | 503);
+                prop_assert!(!(ran && promises_not_run));
+                prop_assert_eq!(answer.outcome == error::Outcome::Unknown, ran);
+            }
+        }
+    }
+
+    #[test]
+    fn the_age_of_the_configuration_is_never_understated(
+        reads in prop::collection::vec((0_u64..5_000, 0_u64..3_000, 0_u64..4_000, any::<bool>()), 1..20),
+        looked in 0_u64..20_000,
+    ) {
+        // Each read: when it began, how long it took, the peer's own age, and whether it was one.
+        let mut freshness = Freshness::default();
+        let mut truth = None;
+        for (began, took, age, is_peer) in reads {
+            let at = |ms: u64| Boot(Duration::from_millis(10_000 + ms));
+            // A peer answered at some moment between question and answer.
+            let answered = began + took / 2;
+            let known_at = if is_peer {
+                freshness.confirm_from_peer(at(began), Duration::from_millis(age));
+                10_000 + answered - age
+            } else {
+                freshness.confirm(at(began));
+                10_000 + answered
+            };
+            truth = truth.max(Some(known_at));
+        }
+        let now = Boot(Duration::from_millis(20_000 + looked));
+        let real = Duration::from_millis(20_000 + looked - truth.expect("one read at least"));
+        prop_assert!(freshness.age(now).expect("one read at least") >= real);
+    }
+
+    #[test]
+    fn repeats_stay_within_their_share_of_any_ten_seconds(seed in any::<u64>()) {
+        const HOSTS: usize = 6;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut budgets: Vec<Budget> =
+            (0..HOSTS).map(|_| Budget::new(&retry::SERVICE, start)).collect();
+        let (mut firsts, mut repeats) = (Vec::new(), Vec::new());
+        for ms in (0..40_000).step_by(20) {
+            let now = start + Duration::from_millis(ms);
+            let host = rng.random_range(0..HOSTS);
+            if rng.random_bool(0.5) {
+                budgets[host].earn();
+                firsts.push(ms);
+            }
+            // Every attempt fails and wants another.
+            for budget in &mut budgets {
+                if budget.spend(now) {
+                    repeats.push(ms);
+                }
+            }
+        }
+        for from in (0..40_000).step_by(500) {
+            let within = |all: &[u64]| all.iter().filter(|ms| (from..from + 10_000).contains(*ms)).count();
+            let allowed = 0.2 * within(&firsts) as f64 + 52.0;
+            prop_assert!(within(&repeats) as f64 <= allowed, "from {from} ms");
+        }
+    }
+}
+
+#[test]
+fn keys_stop_when_the_configuration_is_too_old() {
+    let limit = Duration::from_millis(4_500);
+    let at = |ms: u64| Boot(Duration::from_millis(ms));
+    let mut freshness = Freshness::default();
+    assert!(!freshness.is_fresh(at(0), limit), "nothing was ever confirmed");
+    freshness.confirm(at(1_000));
+    assert!(freshness.is_fresh(at(5_499), limit));
+    assert!(!freshness.is_fresh(at(5_500), limit));
+    // An older read that is answered late takes nothing back.
+    freshness.confirm(at(500));
+    assert!(freshness.is_fresh(at(5_499), limit));
+}
+
+/// Lengths and estimates that scatter by a factor of 1.65, cut at the maximum.
+fn answers(seed: u64, count: usize) -> Vec<(u32, u32)> {
+    const MOST: f64 = 9_360.0;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut normal = || {
+        // The sum of twelve even draws has mean 6 and variance 1.
+        (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+    };
+    (0..count)
+        .map(|_| {
+            let actual = (4_500.0 * (0.5 * normal()).exp()).min(MOST);
+            let hint = actual * (0.5 * normal()).exp();
+            (actual as u32, hint as u32)
+        })
+        .collect()
+}
+
+#[test]
+fn forecasts_hold_for_streams_that_name_a_maximum_far_above_their_length() {
+    let mut forecast = Forecast::default();
+    for (actual, hint) in answers(1, 400) {
+        forecast.observe(9_360, Some(hint), actual);
+    }
+    let tested = answers(2, 2_000);
+    let bounds: Vec<u32> =
+        tested.iter().map(|(_, hint)| forecast.bound(9_360, Some(*hint), 0.85)).collect();
+    let kept = tested.iter().zip(&bounds).filter(|((actual, _), bound)| actual <= bound).count();
+    let kept = kept as f64 / tested.len() as f64;
+    // 0.85 deviations of a normal distribution: 80 percent.
+    assert!((0.76..0.88).contains(&kept), "{kept} of the streams stayed within their bound");
+    let mean = bounds.iter().map(|bound| f64::from(*bound)).sum::<f64>() / bounds.len() as f64;
+    assert!(mean < 0.75 * 9_360.0, "a quarter less than the maximum is reserved: {mean}");
+}
+
+#[test]
+fn a_forecast_never_exceeds_the_maximum_and_needs_no_estimate() {
+    let forecast = Forecast::default();
+    assert_eq!(forecast.bound(1_000, Some(1_000_000), 3.0), 1_000);
+    assert!((400..1_000).contains(&forecast.bound(1_000, None, 0.85)));
+    assert_eq!(forecast.bound(0, Some(5), 0.85), 0);
+}
+
+fn engine(name: &str, domain: &str, role: Role) -> Entry {
+    Entry {
+        instance: name.to_owned(),
+        tag: Tag::of(name),
+        service: Tag::of("model"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: Tag::of(domain),
+        slots: 12,
+        is_leaving: false,
+        role: Some(role),
+        started_ms: 0,
+    }
+}
+
+fn engines(prefill: usize, decode: usize) -> Vec<Entry> {
+    let prefill = (0..prefill).map(|n| engine(&format!("p{n}"), "a", Role::Prefill));
+    let decode = (0..decode).map(|n| engine(&format!("d{n}"), "b", Role::Decode));
+    prefill.chain(decode).collect()
+}
+
+#[test]
+fn roles_move_towards_their_proportion_and_none_is_ever_emptied() {
+    let change = |prefill, decode| {
+        let engines = engines(prefill, decode);
+        stages::next_change(engines.iter(), 0.25).map(|change| change.role)
+    };
+    assert_eq!(change(3, 5), Some(Role::Decode));
+    assert_eq!(change(2, 6), None);
+    assert_eq!(change(1, 7), Some(Role::Prefill));
+    assert_eq!(change(0, 8), Some(Role::Prefill));
+    assert_eq!(change(8, 0), Some(Role::Decode));
+    assert_eq!(change(1, 1), None);
+    assert_eq!(change(0, 1), None);
+    assert_eq!(change(1, 0), None);
+}
+
+#[test]
+fn a_crash_that_is_soon_over_changes_no_roles() {
+    let mut pace = Pace::default();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    assert!(!pace.is_due(true, at(0)));
+    assert!(pace.is_due(true, at(500)), "before traffic a change comes at once");
+    pace.changed(at(500));
+    for ms in (13_000..18_000).step_by(250) {
+        assert!(!pace.is_due(true, at(ms)), "an engine is away for five seconds");
+    }
+    assert!(!pace.is_due(false, at(18_000)));
+    for ms in (18_250..26_000).step_by(250) {
+        assert!(!pace.is_due(true, at(ms)));
+    }
+    assert!(pace.is_due(true, at(26_250)), "an engine is away for good");
+}
+
+#[test]
+fn an_earlier_giver_and_a_later_one_are_three_seconds_apart() {
+    let apart = stages::CLAIM_WAIT.saturating_sub(stages::CONFIRMED_FOR);
+    assert!(apart >= Duration::from_secs(3));
+}
+
+#[test]
+fn the_emptiest_engine_comes_first_and_then_the_own_domain() {
+    let engines = [
+        engine("full", "a", Role::Decode),
+        engine("far", "b", Role::Decode),
+        engine("near", "a", Role::Decode),
+    ];
+    let busy = Load { requests: 5, memory_tokens: 60_000, prefill_tokens: 0 };
+    let known = [(Tag::of("full"), busy)].into_iter().collect();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let ranked = placement::decode(engines.iter(), &known, Tag::of("a"), &mut rng);
+    let names: Vec<&str> = ranked.iter().map(|entry| entry.instance.as_str()).collect();
+    assert_eq!(names, ["near", "far", "full"]);
+}
+
+#[test]
+fn an_upstream_that_fails_is_left_out_longer_each_time_until_it_answers() {
+    let mut outliers = Outliers::default();
+    let upstream = Tag::of("grey");
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    outliers.fail(upstream, at(0));
+    assert!(outliers.is_ejected(upstream, at(499)));
+    assert!(!outliers.is_ejected(upstream, at(500)));
+    outliers.fail(upstream, at(500));
+    assert!(outliers.is_ejected(upstream, at(1_499)));
+    outliers.succeed(upstream);
+    assert!(!outliers.is_ejected(upstream, at(1_400)));
+}
