Two hosts of a domain read the store, four hold its bucket slots; the others follow

Now readers answer questions of the others (News, with the reader's own age), a host that no reader helps reads by itself, and only keepers renew leases.

--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -1,9 +1,10 @@
-//! The configuration as peers may pull it over TCP.
+//! The configuration and the registered upstreams as peers may pull it over TCP.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
 use damaskhatch_policy::config::Head;
+use damaskhatch_policy::registry::Entry;
 use damaskhatch_wire::prelude::Body;
 
 /// A configuration as peers may pull it.
@@ -15,6 +16,10 @@
     pub chunks: HashMap<String, String>,
     /// Digests of withdrawn keys.
     pub withdrawn: Vec<String>,
+    /// The version of the registered upstreams; 0 without any.
+    pub listing: u64,
+    /// The registered upstreams by key.
+    pub upstreams: Vec<(String, Entry)>,
 }
 
 /// The archive that the TCP server reads.
@@ -32,6 +37,10 @@
             let chunks = named.iter().filter_map(|digest| archive.chunks.get(digest).cloned());
             Some(Body::Chunks(chunks.collect()))
         }
+        Body::GetListing if archive.listing > 0 => {
+            let (version, entries) = (archive.listing, archive.upstreams.clone());
+            Some(Body::Listing { version, entries })
+        }
         _ => None,
     }
 }
--- a/crates/damaskhatch/src/control/configuration/message.rs
+++ b/crates/damaskhatch/src/control/configuration/message.rs
@@ -37,6 +37,11 @@
 #[rtype(result = "()")]
 pub struct Withdraw(pub String);
 
+/// Pulls the configuration from a peer that has a newer one.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Pull(pub std::net::SocketAddr);
+
 /// Asks which hosts confirmed a withdrawal.
 #[derive(Debug, Message)]
 #[rtype(result = "Confirmations")]
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -5,11 +5,11 @@
 //! reaches the platform when that is back.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskhatch_policy::config::{Applied, Head, Snapshot, State};
 use damaskhatch_policy::freshness::Freshness;
-use damaskhatch_policy::rendezvous;
 use damaskhatch_policy::sheet::Row;
 use damaskhatch_store::error::Error;
 use damaskhatch_store::prelude::{Client, Store};
@@ -19,7 +19,7 @@
 use crate::clock::boot;
 use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
-use crate::control::membership::READERS;
+use crate::control::membership::{READER, READERS};
 use crate::peers::{Arrival, SharedCodec};
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -29,7 +29,7 @@
 pub mod message;
 
 pub use archive::{Archive, SharedArchive, answer};
-pub use message::{Accept, Confirmations, GetConfirmations, GetRows, Issue, Rows, Withdraw};
+pub use message::{Accept, Confirmations, GetConfirmations, GetRows, Issue, Pull, Rows, Withdraw};
 
 /// How long one watch on the platform waits.
 const WATCH_TIME: Duration = Duration::from_secs(5);
@@ -37,6 +37,10 @@
 const FRESH_WATCH_TIME: Duration = Duration::from_secs(1);
 /// The pause after a failed or needless look at the platform.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// The age of the configuration from which on a host that no reader answers reads itself.
+///
+/// Half of the age at which keys stop, so that one failed read is not yet the end.
+const ALONE_AFTER: Duration = Duration::from_millis(2_200);
 /// The pause after a failed look where the age of the configuration decides.
 const FRESH_FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// The time between two looks at what peers have.
@@ -111,17 +115,14 @@
     }
 
     fn is_reader(&self) -> bool {
-        if self.shared.deployment.catalogue.is_some() {
-            return true;
-        }
-        let hosts = self.shared.hosts();
-        let eligible = hosts.eligible(self.shared.domain, Instant::now());
-        rendezvous::owners(Tag::of("reader"), eligible, READERS).contains(&self.shared.host)
+        self.shared.is_owner(READER, READERS)
     }
 
     /// Watches the platform, one call at a time.
     fn watch(&self, ctx: &mut Context<Self>) {
-        if !self.is_reader() {
+        let is_alone = self.foreign().is_some()
+            && self.shared.config_age().is_none_or(|age| age > ALONE_AFTER);
+        if !self.is_reader() && !is_alone {
             ctx.run_later(WATCH_PAUSE, |actor, ctx| actor.watch(ctx));
             return;
         }
@@ -186,10 +187,15 @@
 
     /// Pulls from a peer that is ahead, one at a time.
     fn pull_from_peer(&mut self, ctx: &mut Context<Self>) {
-        let ahead = self.shared.hosts().ahead(Instant::now());
-        let Some(peer) = ahead.first().copied().filter(|_| !self.pulling) else {
+        if let Some(peer) = self.shared.hosts().ahead(Instant::now()).first() {
+            self.pull_from(*peer, ctx);
+        }
+    }
+
+    fn pull_from(&mut self, peer: SocketAddr, ctx: &mut Context<Self>) {
+        if self.pulling {
             return;
-        };
+        }
         self.pulling = true;
         let source = Source::Peer {
             from: self.shared.settings.host.peer.ip(),
@@ -406,6 +412,14 @@
     }
 }
 
+impl Handler<Pull> for Configuration {
+    type Result = ();
+
+    fn handle(&mut self, message: Pull, ctx: &mut Context<Self>) {
+        guard(self, ctx, |actor, ctx| actor.pull_from(message.0, ctx));
+    }
+}
+
 impl Handler<Accept> for Configuration {
     type Result = ResponseActFuture<Self, Result<Head, Error>>;
 
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -8,14 +8,21 @@
 use damaskhatch_store::message::{self, Item};
 use tokio::sync::watch;
 
+use crate::control::configuration::SharedArchive;
+use crate::control::membership::{READER, READERS};
 use crate::deployment::Catalogue;
 use crate::prelude::*;
 use crate::shared::Shared;
+use crate::supervise::guard;
 
 /// How long one watch waits; a silent one is noticed a second later.
 const WATCH_TIME: Duration = Duration::from_millis(1_500);
 /// The pause after a failed read.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// The time between two looks at whether this host should read at all.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+/// The age of the configuration from which on a host that no reader answers reads itself.
+const ALONE_AFTER: Duration = Duration::from_millis(2_200);
 
 /// The actor that follows registered upstreams.
 #[derive(Debug)]
@@ -23,24 +30,51 @@
     shared: Shared,
     catalogue: Catalogue,
     publish: watch::Sender<Arc<Registry>>,
+    archive: SharedArchive,
     registry: Registry,
+    /// The version of the store up to which the registry was read, while it is followed.
     version: Option<u64>,
     is_reachable: bool,
 }
 
+/// A list that a peer has and that may be newer.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Offer {
+    /// Its version.
+    pub version: u64,
+    /// Its entries by key.
+    pub entries: Vec<(String, Entry)>,
+}
+
 impl Listing {
     /// Makes the actor; `publish` carries the registry to everybody.
     pub fn new(
         shared: Shared,
         catalogue: Catalogue,
+        archive: SharedArchive,
         publish: watch::Sender<Arc<Registry>>,
     ) -> Self {
-        let registry = Registry::default();
-        Self { shared, catalogue, publish, registry, version: None, is_reachable: true }
+        Self {
+            shared,
+            catalogue,
+            publish,
+            archive,
+            registry: Registry::default(),
+            version: None,
+            is_reachable: true,
+        }
     }
 
     /// Reads everything, then only what changes.
-    fn read(&self, ctx: &mut Context<Self>) {
+    fn read(&mut self, ctx: &mut Context<Self>) {
+        let is_alone =
+            self.registry.is_empty() || self.shared.config_age().is_none_or(|a| a > ALONE_AFTER);
+        if !self.shared.is_owner(READER, READERS) && !is_alone {
+            self.version = None;
+            ctx.run_later(IDLE_PAUSE, Self::read);
+            return;
+        }
         let (client, version) = (self.shared.store(), self.version);
         let prefix = self.catalogue.upstream_prefix;
         let read = async move {
@@ -51,7 +85,7 @@
         };
         ctx.spawn(read.into_actor(self).map(|read, actor, ctx| {
             let pause = actor.take(read);
-            ctx.run_later(pause, |actor, ctx| actor.read(ctx));
+            ctx.run_later(pause, Self::read);
         }));
     }
 
@@ -124,9 +158,30 @@
             self.registry.apply(changes);
         }
         self.version = Some(listing.version);
+        self.registry.set_version(listing.version);
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let mut archive = self.archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        archive.listing = self.registry.version();
+        archive.upstreams = self.registry.keyed().map(|(k, e)| (k.clone(), e.clone())).collect();
+        drop(archive);
         self.publish.send_replace(Arc::new(self.registry.clone()));
     }
 
+    /// Takes over a peer's list if it is newer than what this host read.
+    fn follow(&mut self, offer: Offer) {
+        if offer.version <= self.registry.version() || self.version.is_some() {
+            return;
+        }
+        let count = offer.entries.len();
+        log::info!("event=upstreams_followed count={count} version={}", offer.version);
+        self.registry.replace(offer.entries.into_iter().collect());
+        self.registry.set_version(offer.version);
+        self.publish();
+    }
+
     fn decode(&self, key: &str, item: Option<&Item>) -> Change {
         let Some(item) = item else { return Change::Gone };
         match (self.catalogue.decode_upstream)(key, &item.value) {
@@ -147,6 +202,14 @@
     }
 }
 
+impl Handler<Offer> for Listing {
+    type Result = ();
+
+    fn handle(&mut self, offer: Offer, ctx: &mut Context<Self>) {
+        guard(self, ctx, |actor, _| actor.follow(offer));
+    }
+}
+
 impl Supervised for Listing {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
         self.version = None;
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -5,7 +5,6 @@
 use crate::prelude::*;
 use crate::settings::Settings;
 use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
-use damaskhatch_policy::rendezvous;
 use damaskhatch_wire::prelude::Body;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -19,6 +18,8 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
 /// Hosts of a domain that read the list; the others learn from heartbeats.
 pub const READERS: usize = 2;
+/// The role of those hosts.
+pub const READER: &str = "reader";
 
 /// Sets the headroom that heartbeats carry.
 #[derive(Debug, Message)]
@@ -85,10 +86,7 @@
     }
 
     fn read_list(&self, ctx: &mut Context<Self>) {
-        let now = Instant::now();
-        let role = Tag::of("reader");
-        let hosts = self.view.eligible(self.shared.domain, now);
-        if !rendezvous::owners(role, hosts, READERS).contains(&self.shared.host) {
+        if !self.shared.is_owner(READER, READERS) {
             return;
         }
         let client = self.shared.store();
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod follow;
 pub mod listing;
 pub mod membership;
 pub mod quota;
@@ -60,6 +61,8 @@
     pub claims: Addr<claims::Claims>,
     /// Knows which requests crash upstreams.
     pub strikes: Addr<strikes::Strikes>,
+    /// Follows what other hosts read from the store, where this host does not.
+    pub follow: Option<Addr<follow::Follow>>,
 }
 
 impl Control {
@@ -72,6 +75,7 @@
         publish: Publishers,
     ) -> Self {
         let Publishers { config, view, registry, freshness } = publish;
+        let follow_freshness = freshness.clone();
         let thread = arbiter.handle();
         let membership = {
             let shared = shared.clone();
@@ -109,17 +113,24 @@
             let (shared, scheduling) = (shared.clone(), scheduling.clone());
             Supervisor::start_in_arbiter(&thread, |_| strikes::Strikes::new(shared, scheduling))
         };
-        if let Some(catalogue) = shared.deployment.catalogue {
-            let shared = shared.clone();
+        let follow = shared.deployment.catalogue.map(|catalogue| {
+            let listing = {
+                let (shared, archive) = (shared.clone(), Arc::clone(archive));
+                Supervisor::start_in_arbiter(&thread, move |_| {
+                    listing::Listing::new(shared, catalogue, archive, registry)
+                })
+            };
+            let (shared, codec) = (shared.clone(), Arc::clone(codec));
+            let configuration = configuration.clone();
             Supervisor::start_in_arbiter(&thread, move |_| {
-                listing::Listing::new(shared, catalogue, registry)
-            });
-        }
+                follow::Follow::new(shared, codec, configuration, listing, follow_freshness)
+            })
+        });
         if shared.settings.schedule.prefill_percent > 0 {
             let shared = shared.clone();
             Supervisor::start_in_arbiter(&thread, |_| stages::Stages::new(shared));
         }
-        Self { membership, configuration, quota, roster, scheduling, claims, strikes }
+        Self { membership, configuration, quota, roster, scheduling, claims, strikes, follow }
     }
 
     /// Hands a message to the actor that handles its kind.
@@ -147,7 +158,17 @@
             Body::Vouch { .. } | Body::GetVouch { .. } | Body::RosterChanged { .. } => {
                 self.roster.do_send(Incoming(arrival));
             }
-            Body::GetHead | Body::Head { .. } | Body::GetChunks(_) | Body::Chunks(_) => {
+            Body::GetNews { .. } | Body::News { .. } => {
+                if let Some(follow) = &self.follow {
+                    follow.do_send(Incoming(arrival));
+                }
+            }
+            Body::GetListing
+            | Body::Listing { .. }
+            | Body::GetHead
+            | Body::Head { .. }
+            | Body::GetChunks(_)
+            | Body::Chunks(_) => {
                 log::debug!("event=datagram_ignored reason=tcp_only");
             }
         }
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashSet;
 
+use damaskhatch_policy::rendezvous;
 use damaskhatch_policy::tenure::{Confirmed, Observed, Roster, Seat, Tenure};
 use damaskhatch_store::error::{Error, Result};
 use damaskhatch_store::message::Swap;
@@ -28,6 +29,12 @@
 const STEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The pause after a step that changed the roster.
 const CHANGED_INTERVAL: Duration = Duration::from_millis(200);
+/// The hosts of a domain that hold its slots, whatever the size of the domain.
+const KEEPERS: usize = 4;
+/// The role of those hosts.
+const KEEPER: &str = "keeper";
+/// How long a started host waits for heartbeats that show who else is there.
+const FIRST_STEP_DELAY: Duration = Duration::from_millis(400);
 /// The time between two rounds of asking for vouchers.
 const VOUCH_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -42,6 +49,8 @@
     lease: Option<u64>,
     confirmed: Option<Confirmed>,
     next_step: Option<SpawnHandle>,
+    /// Whether an earlier life of this host stands in the roster.
+    is_returning: bool,
     started: Instant,
 }
 
@@ -59,6 +68,7 @@
             lease: None,
             confirmed: None,
             next_step: None,
+            is_returning: false,
             started: Instant::now(),
         }
     }
@@ -71,8 +81,39 @@
         self.shared.store()
     }
 
+    /// Takes the first step at once where an earlier life of this host held slots, for
+    /// nobody may spend from them whole until this life has registered. Any other host
+    /// first waits for heartbeats that show who else is there.
+    fn begin(&self, ctx: &mut Context<Self>) {
+        let (client, key) = (self.client(), self.keys.roster());
+        let host = self.shared.host;
+        let known = async move {
+            let roster: Roster = store::decode(&client.get(&key).await?.value)?;
+            Ok::<_, Error>(roster.members.iter().any(|member| member.seat.host == host))
+        };
+        ctx.spawn(known.into_actor(self).map(|known, actor, ctx| match known {
+            Ok(true) => {
+                actor.is_returning = true;
+                actor.step(ctx);
+            }
+            Ok(false) | Err(Error::Missing) => actor.schedule(FIRST_STEP_DELAY, ctx),
+            Err(error) => {
+                log::info!("event=roster_not_read error={error}");
+                actor.schedule(FIRST_STEP_DELAY, ctx);
+            }
+        }));
+    }
+
     /// Renews, reads and confirms; then proposes a change if there is one.
-    fn step(&self, ctx: &mut Context<Self>) {
+    fn step(&mut self, ctx: &mut Context<Self>) {
+        let holds = self.tenure.held().next().is_some();
+        let is_idle = !self.is_keeper() && !holds && !std::mem::take(&mut self.is_returning);
+        if is_idle {
+            // Whoever neither holds slots nor should has nothing to renew.
+            self.lease = None;
+            self.schedule(STEP_INTERVAL, ctx);
+            return;
+        }
         let sent = Instant::now();
         let reading =
             read(self.client(), self.keys.clone(), self.seat(), self.lease, self.silent());
@@ -116,6 +157,11 @@
         }
     }
 
+    /// Whether this host should hold slots of its domain.
+    fn is_keeper(&self) -> bool {
+        self.shared.is_owner(KEEPER, KEEPERS)
+    }
+
     /// The seats whose hosts are silent, whose leases are therefore looked at.
     fn silent(&self) -> Vec<Seat> {
         let hosts = self.shared.hosts();
@@ -142,7 +188,8 @@
         let mut observed = reading.observed;
         let hosts = self.shared.hosts();
         let eligible = hosts.eligible(self.shared.domain, Instant::now());
-        observed.eligible = eligible.into_iter().collect();
+        let keepers = rendezvous::owners(Tag::of(KEEPER), eligible, KEEPERS);
+        observed.eligible = keepers.into_iter().collect();
         observed
     }
 
@@ -177,7 +224,8 @@
                 return Box::pin(async { false }.into_actor(self));
             }
         };
-        self.tenure.stop_surplus(&observed.eligible, self.shared.is_draining());
+        let is_leaving = self.shared.is_draining() || !self.is_keeper();
+        self.tenure.stop_surplus(&observed.eligible, is_leaving);
         let plan = self.tenure.plan(&observed, Instant::now());
         // Stopped slots must not be spent from any more before the swap can be seen.
         let stopped = self.quota.send(SetTenure(Box::new(self.tenure.clone())));
@@ -271,7 +319,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
-        self.step(ctx);
+        self.begin(ctx);
         ctx.run_interval(VOUCH_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.ask_vouchers());
         });
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -249,7 +249,13 @@
         Body::Release { .. } | Body::Released(_) => "release",
         Body::Strike(_) => "strike",
         Body::Withdraw(_) | Body::Withdrawn(_) => "withdraw",
-        Body::GetHead | Body::Head { .. } | Body::GetChunks(_) | Body::Chunks(_) => "config",
+        Body::GetHead
+        | Body::Head { .. }
+        | Body::GetChunks(_)
+        | Body::Chunks(_)
+        | Body::GetListing
+        | Body::Listing { .. } => "config",
+        Body::GetNews { .. } | Body::News { .. } => "news",
         Body::Vouch { .. }
         | Body::GetVouch { .. }
         | Body::RosterChanged { .. }
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -8,6 +8,7 @@
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry::Registry;
+use damaskhatch_policy::rendezvous;
 use damaskhatch_store::prelude::Client;
 use tokio::sync::watch;
 
@@ -69,6 +70,17 @@
         Arc::clone(&self.registry.borrow())
     }
 
+    /// Whether this host is among the `count` hosts of its domain that hold a role.
+    pub fn is_owner(&self, role: &str, count: usize) -> bool {
+        let eligible = self.hosts().eligible(self.domain, Instant::now());
+        rendezvous::owners(Tag::of(role), eligible, count).contains(&self.host)
+    }
+
+    /// How long ago the configuration was known to be the newest.
+    pub fn config_age(&self) -> Option<Duration> {
+        self.freshness.borrow().age(crate::clock::boot())
+    }
+
     /// A client of the platform's store.
     pub fn store(&self) -> Client {
         self.deployment.store(self.settings.platform.address)
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -10,9 +10,9 @@
 use crate::prelude::*;
 use crate::sheet::Role;
 
-/// An upstream as it registered itself.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Entry {
+plain! { data
+    /// An upstream as it registered itself.
+    pub struct Entry {
     /// The name of this life of the upstream, new at most starts.
     pub instance: String,
     /// Its name between hosts.
@@ -32,12 +32,14 @@
     /// When it started, in milliseconds since the Unix epoch, if it says so.
     pub started_ms: u64,
 }
+}
 
 /// All registered upstreams.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Registry {
     entries: HashMap<String, Entry>,
     services: HashMap<Tag, Vec<String>>,
+    version: u64,
 }
 
 /// What became of an entry.
@@ -50,6 +52,19 @@
 }
 
 impl Registry {
+    /// The version of the store at which the content was last known to change; 0 before
+    /// the first reading.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Notes the version of the store at which the content was read or changed.
+    pub const fn set_version(&mut self, version: u64) {
+        if version > self.version {
+            self.version = version;
+        }
+    }
+
     /// Replaces everything by what was listed, by key.
     pub fn replace(&mut self, entries: HashMap<String, Entry>) {
         self.entries = entries;
@@ -78,6 +93,11 @@
         self.entries.values().find(|entry| entry.tag == upstream)
     }
 
+    /// All entries by key.
+    pub fn keyed(&self) -> impl Iterator<Item = (&String, &Entry)> {
+        self.entries.iter()
+    }
+
     /// All entries.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -4,6 +4,7 @@
 use damaskhatch_policy::membership::{Count, Record};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::quota::{Charge, Loan, Purpose, Verdict};
+use damaskhatch_policy::registry::Entry;
 use damaskhatch_policy::route::Pair;
 use damaskhatch_policy::schedule::ask::{Ask, Claim, Release};
 use damaskhatch_policy::strike::Strike;
@@ -135,6 +136,31 @@
         GetChunks(Vec<String>),
         /// Chunks as text, each checked against its digest; TCP only.
         Chunks(Vec<String>),
+        /// Asks what a host last read from the store.
+        GetNews {
+            /// The question, by which its answer is told from earlier ones.
+            serial: u64,
+        },
+        /// What a host last read from the store.
+        News {
+            /// The question that this answers.
+            serial: u64,
+            /// The revision in force there.
+            revision: u64,
+            /// How long ago it was known to be the newest.
+            age: Duration,
+            /// The version of its list of registered upstreams; 0 without one.
+            listing: u64,
+        },
+        /// Asks for the registered upstreams; TCP only.
+        GetListing,
+        /// The registered upstreams by key; TCP only.
+        Listing {
+            /// The version of the list.
+            version: u64,
+            /// The entries.
+            entries: Vec<(String, Entry)>,
+        },
         /// Vouches for a holder that cannot reach the platform.
         Vouch {
             /// The roster's epoch.
