--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -34,7 +34,7 @@
 /// The role of those hosts.
 const KEEPER: &str = "keeper";
 /// How long a started host waits for heartbeats that show who else is there.
-const FIRST_STEP_DELAY: Duration = Duration::from_millis(400);
+const FIRST_STEP_DELAY: Duration = Duration::from_secs(2);
 /// The time between two rounds of asking for vouchers.
 const VOUCH_INTERVAL: Duration = Duration::from_millis(400);
 
