--- a/crates/damaskhatch/src/bin/damaskhatchd.rs
+++ b/crates/damaskhatch/src/bin/damaskhatchd.rs
@@ -7,6 +7,7 @@
 use damaskhatch::cli::args::parse;
 use damaskhatch::deployment::Deployment;
 use damaskhatch::host;
+use damaskhatch::logging;
 use damaskhatch::settings::Settings;
 
 #[global_allocator]
@@ -56,9 +57,7 @@
         println!("{}: no fault", path.display());
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
+    logging::init();
     match actix_web::rt::System::new().block_on(host::run(settings, Deployment::OWN)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -5,6 +5,7 @@
 use crate::prelude::*;
 use crate::settings::Settings;
 use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
+use damaskhatch_store::message;
 use damaskhatch_wire::prelude::Body;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -15,7 +16,9 @@
 use crate::supervise::guard;
 
 /// The time between two readings of the platform's list of hosts.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// The pause after this host's own entry could not be written.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// Hosts of a domain that read the list; the others learn from heartbeats.
 pub const READERS: usize = 2;
 /// The role of those hosts.
@@ -85,6 +88,25 @@
         self.publish.send_replace(Arc::new(self.view.clone()));
     }
 
+    /// Writes down where this host is reached, again and again until that succeeds.
+    fn announce(&self, ctx: &mut Context<Self>) {
+        let host = &self.shared.settings.host;
+        let own = message::Host {
+            name: host.name.clone(),
+            address: self.shared.settings.advertised(),
+            domain: host.domain.clone(),
+            leaving: false,
+        };
+        let client = self.shared.store();
+        let announced = async move { client.announce(&own).await };
+        ctx.spawn(announced.into_actor(self).map(|announced, _actor, ctx| {
+            if let Err(error) = announced {
+                log::info!("event=not_announced error={error}");
+                ctx.run_later(ANNOUNCE_PAUSE, |actor, ctx| actor.announce(ctx));
+            }
+        }));
+    }
+
     fn read_list(&self, ctx: &mut Context<Self>) {
         if !self.shared.is_owner(READER, READERS) {
             return;
@@ -101,7 +123,7 @@
         }));
     }
 
-    fn correct(&mut self, listed: &[damaskhatch_store::message::Host]) {
+    fn correct(&mut self, listed: &[message::Host]) {
         let snapshot = self.shared.snapshot();
         let is_upstream = |tag: Tag| snapshot.upstream(tag).is_some();
         let mut hosts = Vec::new();
@@ -142,6 +164,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
+        self.announce(ctx);
         ctx.run_interval(HEARTBEAT_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.beat());
         });
--- a/crates/damaskhatch/src/control/quota/mod.rs
+++ b/crates/damaskhatch/src/control/quota/mod.rs
@@ -9,6 +9,7 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::oneshot;
 
+use crate::clock::steady;
 use crate::control::Incoming;
 use crate::peers::Arrival;
 use crate::prelude::*;
@@ -84,7 +85,7 @@
     }
 
     fn admit(&mut self, message: Admit) {
-        let now = Instant::now();
+        let now = steady();
         let Admit { charge, reply } = message;
         let mut domains = vec![self.shared.domain];
         domains.extend(self.lenders());
@@ -116,14 +117,13 @@
         let snapshot = self.shared.snapshot();
         let entry = snapshot.teams.get(snapshot.team(team)?)?;
         let share = snapshot.domain(self.shared.domain).map_or(0.0, |d| snapshot.domains[d].share);
-        let tenure::Standing { part, since } =
-            self.tenure.standing(tenure::slot(team), Instant::now());
+        let tenure::Standing { part, since } = self.tenure.standing(tenure::slot(team), steady());
         let limits = Limits { rate: entry.rate, burst: entry.burst };
         Some(Standing { limits, part: part * share, since })
     }
 
     fn receive(&mut self, arrival: &Arrival) {
-        let now = Instant::now();
+        let now = steady();
         match arrival.body.clone() {
             Body::Charge(charge) => self.charge(charge, arrival.source, now),
             Body::Charged { request, domain, verdict } => {
@@ -290,7 +290,7 @@
     }
 
     fn tick(&mut self) {
-        let now = Instant::now();
+        let now = steady();
         self.send_levels();
         self.take_levels(now);
         let decisions = self.holder.tick(now);
@@ -373,7 +373,7 @@
 
     fn handle(&mut self, message: Credit, ctx: &mut Context<Self>) {
         guard(self, ctx, |actor, _| {
-            actor.send_credit(&message, Instant::now());
+            actor.send_credit(&message, steady());
         });
     }
 }
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -13,6 +13,7 @@
 use damaskhatch_store::prelude::Client;
 use damaskhatch_wire::prelude::Body;
 
+use crate::clock::steady;
 use crate::control::Incoming;
 use crate::control::membership::{Membership, SetSlots};
 use crate::control::quota::{Quota, SetTenure};
@@ -23,7 +24,7 @@
 
 mod store;
 
-use store::{Keys, Reading, encode, overwrite, read};
+use store::{Keys, Reading, encode, read};
 
 /// The time between two steps.
 const STEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -69,7 +70,7 @@
             confirmed: None,
             next_step: None,
             is_returning: false,
-            started: Instant::now(),
+            started: steady(),
         }
     }
 
@@ -109,12 +110,10 @@
         let holds = self.tenure.held().next().is_some();
         let is_idle = !self.is_keeper() && !holds && !std::mem::take(&mut self.is_returning);
         if is_idle {
-            // Whoever neither holds slots nor should has nothing to renew.
-            self.lease = None;
-            self.schedule(STEP_INTERVAL, ctx);
+            self.look_on(ctx);
             return;
         }
-        let sent = Instant::now();
+        let sent = steady();
         let reading =
             read(self.client(), self.keys.clone(), self.seat(), self.lease, self.silent());
         let step = reading.into_actor(self).then(move |reading, actor, _ctx| {
@@ -136,6 +135,27 @@
         );
     }
 
+    /// Reads who holds the slots, without a lease or a place in the roster.
+    fn look_on(&mut self, ctx: &mut Context<Self>) {
+        self.lease = None;
+        let (client, key) = (self.client(), self.keys.roster());
+        let read = async move {
+            let item = client.get_stale(&key).await?;
+            Ok::<_, Error>((store::decode::<Roster>(&item.value)?, item.version))
+        };
+        ctx.spawn(read.into_actor(self).map(|read, actor, ctx| {
+            match read {
+                Ok((roster, version)) => {
+                    actor.tenure.adopt(Some(roster), version, steady());
+                    actor.publish_tenure();
+                }
+                Err(Error::Missing) => {}
+                Err(error) => log::info!("event=roster_not_read error={error}"),
+            }
+            actor.schedule(STEP_INTERVAL, ctx);
+        }));
+    }
+
     fn schedule(&mut self, pause: Duration, ctx: &mut Context<Self>) {
         let next = ctx.run_later(pause, |actor, ctx| {
             guard(actor, ctx, |actor, ctx| {
@@ -165,7 +185,7 @@
     /// The seats whose hosts are silent, whose leases are therefore looked at.
     fn silent(&self) -> Vec<Seat> {
         let hosts = self.shared.hosts();
-        let now = Instant::now();
+        let now = steady();
         let heard = |seat: &Seat| {
             let member = hosts.member(seat.host);
             member.is_some_and(|m| m.is_alive(now) && m.record.incarnation == seat.incarnation)
@@ -184,10 +204,10 @@
             self.tenure.lose_lease();
         }
         self.lease = Some(reading.lease);
-        self.tenure.adopt(reading.roster, reading.version, Instant::now());
+        self.tenure.adopt(reading.roster, reading.version, steady());
         let mut observed = reading.observed;
         let hosts = self.shared.hosts();
-        let eligible = hosts.eligible(self.shared.domain, Instant::now());
+        let eligible = hosts.eligible(self.shared.domain, steady());
         let keepers = rendezvous::owners(Tag::of(KEEPER), eligible, KEEPERS);
         observed.eligible = keepers.into_iter().collect();
         observed
@@ -201,7 +221,7 @@
         let written = async move {
             let observed = observed?;
             if is_due {
-                overwrite(&client, &key, &encode(&confirmed), None).await?;
+                client.overwrite(&key, &encode(&confirmed), None).await?;
             }
             Ok(observed)
         };
@@ -226,7 +246,7 @@
         };
         let is_leaving = self.shared.is_draining() || !self.is_keeper();
         self.tenure.stop_surplus(&observed.eligible, is_leaving);
-        let plan = self.tenure.plan(&observed, Instant::now());
+        let plan = self.tenure.plan(&observed, steady());
         // Stopped slots must not be spent from any more before the swap can be seen.
         let stopped = self.quota.send(SetTenure(Box::new(self.tenure.clone())));
         let Some(next) = plan else {
@@ -258,7 +278,7 @@
         }
         let domain = &self.shared.settings.host.domain;
         let (epoch, members) = (roster.epoch, roster.members.len());
-        self.tenure.swapped(roster, version, Instant::now());
+        self.tenure.swapped(roster, version, steady());
         let held = self.tenure.held().count();
         log::info!(
             "event=roster_changed domain={domain} epoch={epoch} members={members} held={held}"
@@ -278,7 +298,7 @@
 
     /// Asks every other host of the roster to vouch, when the platform may fall away.
     fn ask_vouchers(&self) {
-        let now = Instant::now();
+        let now = steady();
         if !self.tenure.needs_vouchers(now) {
             return;
         }
@@ -293,7 +313,7 @@
     }
 
     fn receive(&mut self, arrival: &Arrival) {
-        let now = Instant::now();
+        let now = steady();
         match arrival.body {
             Body::GetVouch { epoch, serial } => {
                 let promised = self.tenure.promise(arrival.from, epoch, now);
--- a/crates/damaskhatch/src/control/roster/store.rs
+++ b/crates/damaskhatch/src/control/roster/store.rs
@@ -4,7 +4,6 @@
 
 use damaskhatch_policy::tenure::{Confirmed, LEASE_LIFE, Observed, Roster, Seat};
 use damaskhatch_store::error::{Error, Result};
-use damaskhatch_store::message::Swap;
 use damaskhatch_store::prelude::Client;
 
 use crate::prelude::*;
@@ -76,7 +75,7 @@
 
 pub async fn take_lease(client: &Client, keys: &Keys, seat: Seat) -> Result<u64> {
     let lease = client.lease(LEASE_LIFE).await?;
-    overwrite(client, &keys.lease(seat.host), &encode(&seat), Some(lease)).await?;
+    client.overwrite(&keys.lease(seat.host), &encode(&seat), Some(lease)).await?;
     Ok(lease)
 }
 
@@ -101,16 +100,6 @@
     }
 }
 
-/// Writes a key that only this host writes, whatever its version.
-pub async fn overwrite(client: &Client, key: &str, value: &str, lease: Option<u64>) -> Result<u64> {
-    let expect = match client.get(key).await {
-        Ok(item) => item.version,
-        Err(Error::Missing) => 0,
-        Err(error) => return Err(error),
-    };
-    client.swap(key, &Swap { value: value.to_owned(), expect, lease }).await
-}
-
 pub fn encode(value: &impl serde::Serialize) -> String {
     serde_json::to_string(value).expect("rosters have only strings and finite numbers")
 }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -13,6 +13,7 @@
 use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::prelude::Tag;
 use damaskhatch_policy::registry::Registry;
+use damaskhatch_policy::tenure;
 use damaskhatch_wire::frame::{Codec, wall_ms};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
@@ -32,6 +33,8 @@
 
 /// How long a leaving host waits for others to take its bucket slots.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+/// How long a started host says that it is not ready because nobody charges.
+const HOLDER_GRACE: Duration = Duration::from_secs(4);
 /// How long an idle connection of a caller is kept.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// How long callers may take to send a request head.
@@ -51,6 +54,7 @@
         host,
         domain,
         incarnation,
+        started: tokio::time::Instant::now(),
         outbox,
         metrics: Metrics::new(),
         journal: Journal::default(),
@@ -146,8 +150,20 @@
     Ok(())
 }
 
+/// Whether requests can be charged, or would have been by now if they could.
+///
+/// Callers that come before their domain has a holder are refused, so a balancer
+/// better sends them to a host that has one; but not for long, since open routes
+/// and teams without a rate need no holder.
+fn can_charge(shared: &Shared) -> bool {
+    let now = tokio::time::Instant::now();
+    let hosts = shared.hosts();
+    let has_holder = |slot| hosts.slot_holder(shared.domain, slot, now).is_some();
+    (0..tenure::SLOTS).any(has_holder) || now >= shared.started + HOLDER_GRACE
+}
+
 async fn readiness(shared: web::Data<Shared>) -> HttpResponse {
-    let is_ready = !shared.is_draining() && shared.snapshot().revision > 0;
+    let is_ready = !shared.is_draining() && shared.snapshot().revision > 0 && can_charge(&shared);
     if is_ready { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
 }
 
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod diff;
 pub mod entry;
 pub mod host;
+pub mod logging;
 pub mod metrics;
 pub mod operator;
 pub mod peers;
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -11,7 +11,7 @@
 use damaskhatch_exchange::Answer;
 use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
-use damaskhatch_policy::placement::{self, Load};
+use damaskhatch_policy::placement::{self, Known, Load};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 use damaskhatch_policy::sheet::{EngineTerms, Role};
@@ -99,8 +99,11 @@
     let patience = admission::patience(routed.route.target_latency);
     let give_up = (routed.arrived + patience).min(routed.limit);
     loop {
-        let engines = decode_engines(entry, routed, avoid);
-        for engine in engines.iter().take(ASKED_PER_ROUND) {
+        let known = entry.known_loads();
+        let engines = decode_engines(entry, routed, &known, avoid);
+        let room = terms.memory_tokens;
+        let asked = placement::worth_asking(&engines, &known, memory, room, ASKED_PER_ROUND);
+        for engine in engines.iter().take(asked) {
             if let Some(held) = Reservation::take(entry, engine, terms, memory, routed).await {
                 return Ok(held);
             }
@@ -123,7 +126,12 @@
     admission::RETURN_AFTER + admission::RETURN_SPREAD.mul_f64(rand::random())
 }
 
-fn decode_engines(entry: &Entry, routed: &Routed, avoid: &HashSet<Tag>) -> Vec<registry::Entry> {
+fn decode_engines(
+    entry: &Entry,
+    routed: &Routed,
+    known: &Known,
+    avoid: &HashSet<Tag>,
+) -> Vec<registry::Entry> {
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
     let now = Instant::now();
@@ -131,8 +139,7 @@
     let usable = registry.usable(service).filter(|e| {
         e.role == Some(Role::Decode) && !avoid.contains(&e.tag) && !outliers.is_ejected(e.tag, now)
     });
-    let (known, domain) = (entry.known_loads(), entry.shared.domain);
-    let ranked = placement::decode(usable, &known, domain, &mut rand::rng());
+    let ranked = placement::decode(usable, known, entry.shared.domain, &mut rand::rng());
     ranked.into_iter().cloned().collect()
 }
 
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -78,10 +78,13 @@
 fn refuse(entry: &Entry, label: &str, refusal: &Refusal) -> HttpResponse {
     let Refusal { kind, retry_after, may_have_run } = refusal;
     let retry_ms = retry_after.map_or(0, |wait| wait.as_millis());
+    let revision = entry.shared.snapshot().revision;
+    let age_ms = entry.shared.config_age().map_or(-1, |age| age.as_millis() as i64);
     entry.shared.journal.record(
         label,
         format_args!(
-            "event=refused reason={kind:?} may_have_run={may_have_run} retry_after_ms={retry_ms}"
+            "event=refused reason={kind:?} may_have_run={may_have_run} \
+             retry_after_ms={retry_ms} revision={revision} config_age_ms={age_ms}"
         ),
     );
     entry.shared.metrics.refusals.with_label_values(&[&format!("{kind:?}")]).inc();
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -30,6 +30,8 @@
     pub domain: Tag,
     /// The start of this process, in milliseconds since the Unix epoch.
     pub incarnation: u64,
+    /// When the process started, by the runtime's clock.
+    pub started: Instant,
     /// Sends messages to other hosts.
     pub outbox: Outbox,
     /// The metrics.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -79,6 +79,22 @@
     by_load(candidates, known, domain, rng, |load, _| u64::from(load.memory_tokens))
 }
 
+/// How many of the first `most` engines to ask for `memory` tokens: those that seem to have
+/// room, or else only the first, for what is known of others' work lags.
+pub fn worth_asking(
+    ranked: &[Entry],
+    known: &Known,
+    memory: u32,
+    capacity: u32,
+    most: usize,
+) -> usize {
+    let has_room = |entry: &&Entry| {
+        let used = known.get(&entry.tag).map_or(0, |load| load.memory_tokens);
+        used.saturating_add(memory) <= capacity
+    };
+    ranked.iter().take(most).filter(has_room).count().max(1)
+}
+
 /// Prefill engines, that with the least prompt tokens ahead first.
 pub fn prefill<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -275,6 +275,23 @@
     assert_eq!(names, ["near", "far", "full"]);
 }
 
+#[test]
+fn engines_that_seem_full_are_not_all_asked() {
+    let ranked = [
+        engine("room", "a", Role::Decode),
+        engine("full", "a", Role::Decode),
+        engine("fuller", "a", Role::Decode),
+    ];
+    let load = |memory_tokens| Load { requests: 1, memory_tokens, prefill_tokens: 0 };
+    let known = [(Tag::of("full"), load(75_000)), (Tag::of("fuller"), load(79_000))];
+    let mut known: placement::Known = known.into_iter().collect();
+    assert_eq!(placement::worth_asking(&ranked, &known, 9_000, 80_000, 3), 1);
+    assert_eq!(placement::worth_asking(&ranked, &known, 1_000, 80_000, 3), 3);
+    known.insert(Tag::of("room"), load(80_000));
+    // What is known lags, so one is asked all the same.
+    assert_eq!(placement::worth_asking(&ranked, &known, 9_000, 80_000, 3), 1);
+}
+
 #[test]
 fn an_upstream_that_fails_is_left_out_longer_each_time_until_it_answers() {
     let mut outliers = Outliers::default();
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -8,7 +8,7 @@
 
 use crate::error::{Error, Result};
 use crate::message::{Host, Item, Listing, Swap};
-use crate::protocol::{Call, Protocol, Reply, Request};
+use crate::protocol::{Call, Protocol, Reply, Request, to_json};
 
 /// How long a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -30,9 +30,23 @@
         Self { address, protocol }
     }
 
-    /// Whether the hosts write their own entries of the list of hosts.
-    pub const fn hosts_announce(&self) -> bool {
-        self.protocol.hosts_announce
+    /// Writes this host's own entry of the list of hosts, where hosts do that themselves.
+    pub async fn announce(&self, host: &Host) -> Result<()> {
+        let Some(prefix) = self.protocol.hosts_prefix else {
+            return Ok(());
+        };
+        let value = String::from_utf8_lossy(&to_json(host)).into_owned();
+        self.overwrite(&format!("{prefix}{}", host.name), &value, None).await.map(drop)
+    }
+
+    /// Writes a key that only one host writes, whatever its version; returns the new one.
+    pub async fn overwrite(&self, key: &str, value: &str, lease: Option<u64>) -> Result<u64> {
+        let expect = match self.get(key).await {
+            Ok(item) => item.version,
+            Err(Error::Missing) => 0,
+            Err(error) => return Err(error),
+        };
+        self.swap(key, &Swap { value: value.to_owned(), expect, lease }).await
     }
 
     /// Reads a key.
@@ -40,6 +54,19 @@
         self.item(Call::Get(key), Duration::ZERO).await
     }
 
+    /// Reads a key; an answer that is some seconds old will do.
+    pub async fn get_stale(&self, key: &str) -> Result<Item> {
+        match self.list(key, true).await {
+            Ok(listing) => {
+                let found = listing.items.into_iter().find(|(named, _)| named == key);
+                found.and_then(|(_, item)| item).ok_or(Error::Missing)
+            }
+            // This store answers all reads alike.
+            Err(Error::Unsupported) => self.get(key).await,
+            Err(error) => Err(error),
+        }
+    }
+
     /// Reads all keys under a prefix, page by page.
     pub async fn list(&self, prefix: &str, may_be_stale: bool) -> Result<Listing> {
         let mut all = Listing::default();
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -83,13 +83,14 @@
     pub encode: fn(&Call<'_>) -> Option<Request>,
     /// Turns the answer to a call into a reply.
     pub decode: fn(&Call<'_>, StatusCode, &[u8]) -> Result<Reply>,
-    /// Whether the hosts write their own entries of the list of hosts.
-    pub hosts_announce: bool,
+    /// The prefix under which hosts write their own entries of the list of hosts; `None`
+    /// where the platform keeps that list itself.
+    pub hosts_prefix: Option<&'static str>,
 }
 
 impl Protocol {
     /// The protocol that [docs/PLATFORM.md](../../../docs/PLATFORM.md) describes.
-    pub const OWN: Self = Self { encode, decode, hosts_announce: false };
+    pub const OWN: Self = Self { encode, decode, hosts_prefix: None };
 }
 
 fn encode(call: &Call<'_>) -> Option<Request> {
