--- a/crates/damaskhatch/src/control/quota/mod.rs
+++ b/crates/damaskhatch/src/control/quota/mod.rs
@@ -289,6 +289,20 @@
         }
     }
 
+    /// Says whom a charge that nobody answered was meant for.
+    fn note_unanswered(&self, waiter: &Waiter) {
+        let Charge { request, team, .. } = waiter.charge;
+        let slot = tenure::slot(team);
+        let epoch = self.tenure.epoch();
+        let holder = self.tenure.holder(slot).map_or("none".to_owned(), |host| host.to_string());
+        let announced = self.shared.hosts().slot_holder(self.shared.domain, slot, steady());
+        let announced = announced.map_or("none".to_owned(), |host| host.to_string());
+        log::info!(
+            "event=charge_unanswered request={request} slot={slot} epoch={epoch} holder={holder} \
+             announced={announced}"
+        );
+    }
+
     fn tick(&mut self) {
         let now = steady();
         self.send_levels();
@@ -300,6 +314,7 @@
             self.waiters.values().filter(|w| is_over(w)).map(|w| w.charge.request).collect();
         for request in over {
             let waiter = self.waiters.remove(&request).expect("the waiter was just seen");
+            self.note_unanswered(&waiter);
             let _gone = waiter.reply.send(None);
         }
         self.used.retain(|_, used| now.saturating_duration_since(used.at) < USED_LIFE);
