--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -19,6 +19,7 @@
 use crate::clock::boot;
 use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
+use crate::control::follow::ALONE_AFTER;
 use crate::control::membership::{READER, READERS};
 use crate::peers::{Arrival, SharedCodec};
 use crate::prelude::*;
@@ -26,6 +27,7 @@
 use crate::supervise::guard;
 
 pub mod archive;
+mod handlers;
 pub mod message;
 
 pub use archive::{Archive, SharedArchive, answer};
@@ -37,10 +39,6 @@
 const FRESH_WATCH_TIME: Duration = Duration::from_secs(1);
 /// The pause after a failed or needless look at the platform.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
-/// The age of the configuration from which on a host that no reader answers reads itself.
-///
-/// Half of the age at which keys stop, so that one failed read is not yet the end.
-const ALONE_AFTER: Duration = Duration::from_millis(2_200);
 /// The pause after a failed look where the age of the configuration decides.
 const FRESH_FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// The time between two looks at what peers have.
@@ -411,70 +409,3 @@
         guard(self, ctx, |actor, _| actor.receive(message.0));
     }
 }
-
-impl Handler<Pull> for Configuration {
-    type Result = ();
-
-    fn handle(&mut self, message: Pull, ctx: &mut Context<Self>) {
-        guard(self, ctx, |actor, ctx| actor.pull_from(message.0, ctx));
-    }
-}
-
-impl Handler<Accept> for Configuration {
-    type Result = ResponseActFuture<Self, Result<Head, Error>>;
-
-    fn handle(&mut self, message: Accept, ctx: &mut Context<Self>) -> Self::Result {
-        let Accept { rows, base, operation } = message;
-        let repeated = operation.clone();
-        self.change(ctx, operation, move |state| {
-            let head = state.head();
-            if head.revision != base && !head.includes(&repeated) {
-                return Err(Error::Beaten(head.revision));
-            }
-            Ok(state.with_sheet(&rows))
-        })
-    }
-}
-
-impl Handler<Issue> for Configuration {
-    type Result = ResponseActFuture<Self, Result<Head, Error>>;
-
-    fn handle(&mut self, message: Issue, ctx: &mut Context<Self>) -> Self::Result {
-        let Issue { digest, team, operation } = message;
-        self.change(ctx, operation, move |state| {
-            if state.snapshot().team(Tag::of(&team)).is_none() {
-                return Err(Error::Missing);
-            }
-            Ok(state.with_row(Some(Row::Key { digest, team })))
-        })
-    }
-}
-
-impl Handler<Withdraw> for Configuration {
-    type Result = ();
-
-    fn handle(&mut self, message: Withdraw, ctx: &mut Context<Self>) {
-        guard(self, ctx, |actor, _| {
-            actor.withdraw(&message.0);
-            actor.spread(&message.0);
-        });
-    }
-}
-
-impl Handler<GetConfirmations> for Configuration {
-    type Result = Confirmations;
-
-    fn handle(&mut self, message: GetConfirmations, _ctx: &mut Context<Self>) -> Confirmations {
-        let spread = self.spreading.get(&message.0);
-        let hosts = spread.map(|spread| spread.confirmed.clone()).unwrap_or_default();
-        Confirmations { hosts, is_saved: !self.state.has_unsaved_withdrawal() }
-    }
-}
-
-impl Handler<GetRows> for Configuration {
-    type Result = Rows;
-
-    fn handle(&mut self, _message: GetRows, _ctx: &mut Context<Self>) -> Rows {
-        Rows { revision: self.state.head().revision, rows: self.state.rows().to_vec() }
-    }
-}
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -31,6 +31,10 @@
 const READER_ASKS_AFTER: Duration = Duration::from_millis(1_600);
 /// The age of an answer from which on another host is asked next.
 const UNHELPFUL_AGE: Duration = Duration::from_millis(1_500);
+/// The age of the configuration from which on a host that no reader answers reads itself.
+///
+/// Half of the age at which keys stop, so that one failed read is not yet the end.
+pub const ALONE_AFTER: Duration = Duration::from_millis(2_200);
 /// How long a question is remembered.
 const QUESTION_LIFE: Duration = Duration::from_secs(2);
 
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::control::configuration::SharedArchive;
+use crate::control::follow::ALONE_AFTER;
 use crate::control::membership::{READER, READERS};
 use crate::deployment::Catalogue;
 use crate::prelude::*;
@@ -21,8 +22,6 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// The time between two looks at whether this host should read at all.
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
-/// The age of the configuration from which on a host that no reader answers reads itself.
-const ALONE_AFTER: Duration = Duration::from_millis(2_200);
 
 /// The actor that follows registered upstreams.
 #[derive(Debug)]
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -105,6 +105,28 @@
     Ok(())
 }
 
+/// Logs and counts a failed attempt, and leaves its upstream out if that is in doubt.
+pub fn note_failure(
+    entry: &Entry,
+    routed: &Routed,
+    upstream: &registry::Entry,
+    failure: &Failure,
+    phase: &str,
+) {
+    let Failure { outcome, reason, is_upstream_bad } = failure;
+    if *is_upstream_bad {
+        entry.outliers().fail(upstream.tag, Instant::now());
+    }
+    entry.shared.metrics.retries.with_label_values(&[&format!("{outcome:?}")]).inc();
+    entry.shared.journal.record(
+        &routed.label,
+        format_args!(
+            "event=attempt_failed phase={phase} upstream={} outcome={outcome:?} reason={reason:?}",
+            upstream.instance
+        ),
+    );
+}
+
 /// The status with which an upstream answers what was meant for another.
 const MISDIRECTED: u16 = 421;
 
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -11,7 +11,7 @@
 use damaskhatch_policy::registry;
 
 use super::answer::begin;
-use super::attempt::{Failure, send};
+use super::attempt::{Failure, note_failure, send};
 use super::request::Routed;
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
@@ -48,7 +48,7 @@
                 return Ok(finish(entry, &routed, &upstream, &head, body));
             }
             Ok(answer) => failed = Some(answer),
-            Err(failure) => note_failure(entry, &routed, &upstream, &failure),
+            Err(failure) => note_failure(entry, &routed, &upstream, &failure, "plain"),
         }
         let in_time = Instant::now() < routed.limit;
         let allowed = history.may_repeat(routed.route.repeat, routed.route.max_attempts);
@@ -109,21 +109,6 @@
     );
 }
 
-fn note_failure(entry: &Entry, routed: &Routed, upstream: &registry::Entry, failure: &Failure) {
-    let Failure { outcome, reason, is_upstream_bad } = failure;
-    if *is_upstream_bad {
-        entry.outliers().fail(upstream.tag, Instant::now());
-    }
-    entry.shared.metrics.retries.with_label_values(&[&format!("{outcome:?}")]).inc();
-    entry.shared.journal.record(
-        &routed.label,
-        format_args!(
-            "event=attempt_failed upstream={} outcome={outcome:?} reason={reason:?}",
-            upstream.instance
-        ),
-    );
-}
-
 fn finish(
     entry: &Entry,
     routed: &Routed,
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -17,7 +17,7 @@
 use damaskhatch_policy::sheet::{EngineTerms, Role};
 
 use super::answer::begin;
-use super::attempt::{Failure, send};
+use super::attempt::{Failure, note_failure, send};
 use super::held::{Export, Reservation};
 use super::request::{Routed, Tokens};
 use super::stream::{Parts, stream};
@@ -237,24 +237,3 @@
         ),
     );
 }
-
-fn note_failure(
-    entry: &Entry,
-    routed: &Routed,
-    engine: &registry::Entry,
-    failure: &Failure,
-    phase: &str,
-) {
-    let Failure { outcome, reason, is_upstream_bad } = failure;
-    if *is_upstream_bad {
-        entry.outliers().fail(engine.tag, Instant::now());
-    }
-    entry.shared.metrics.retries.with_label_values(&[&format!("{outcome:?}")]).inc();
-    entry.shared.journal.record(
-        &routed.label,
-        format_args!(
-            "event=attempt_failed phase={phase} upstream={} outcome={outcome:?} reason={reason:?}",
-            engine.instance
-        ),
-    );
-}
