Holders that are silent longer than keys stay good are dropped; watches start at the store's own version

A host that is silent for longer than keys stay good accepts none, so its slots may be spent whole. After the store dropped its history, a watch from the key's own revision failed with 410 again and again, every 0.15 s.

--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -124,9 +124,12 @@
 ) -> Result<Top> {
     let key = foreign.catalogue.config_key;
     let (item, version) = if wait.is_zero() {
-        let item = client.get(key).await?;
-        let version = item.version;
-        (Some(item), version)
+        // The store's own version, not the key's: a watch from a version whose history
+        // the store has dropped would fail again and again.
+        let listing = client.list(key, false).await?;
+        let found = listing.items.into_iter().find(|(named, _)| named == key);
+        let item = found.and_then(|(_, item)| item).ok_or(Error::Missing)?;
+        (Some(item), listing.version)
     } else {
         let changes = client.changes(key, after, wait).await?;
         let last = changes.items.into_iter().rfind(|(changed, _)| changed == key);
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -30,6 +30,9 @@
 const STEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The pause after a step that changed the roster.
 const CHANGED_INTERVAL: Duration = Duration::from_millis(200);
+/// What is added to the time that keys stay good, for heartbeats that travel through
+/// other hosts and answers that are still under way.
+const SILENCE_MARGIN: Duration = Duration::from_secs(4);
 /// The hosts of a domain that hold its slots, whatever the size of the domain.
 const KEEPERS: usize = 4;
 /// The role of those hosts.
@@ -208,11 +211,29 @@
         let mut observed = reading.observed;
         let hosts = self.shared.hosts();
         let eligible = hosts.eligible(self.shared.domain, steady());
+        observed.dropped = self.dropped();
         let keepers = rendezvous::owners(Tag::of(KEEPER), eligible, KEEPERS);
         observed.eligible = keepers.into_iter().collect();
         observed
     }
 
+    /// Earlier holders that cannot be spending any more.
+    ///
+    /// A host accepts keys only while it reaches the store or a host that does; one of
+    /// which nothing was heard for longer than keys stay good, by any path, spends nothing.
+    fn dropped(&self) -> HashSet<Tag> {
+        let freshness = self.shared.settings.limits.key_freshness_ms;
+        let Some(roster) = self.tenure.roster().filter(|_| freshness > 0) else {
+            return HashSet::new();
+        };
+        let limit = Duration::from_millis(freshness) + SILENCE_MARGIN;
+        let (hosts, now, started) = (self.shared.hosts(), Instant::now(), self.shared.started);
+        let holders = roster.slots.iter().map(|holding| holding.holder);
+        let priors = roster.slots.iter().flat_map(|holding| holding.priors.iter().copied());
+        let seats = holders.chain(priors).map(|seat| seat.host);
+        seats.filter(|host| hosts.is_silent(*host, limit, started, now)).collect()
+    }
+
     /// Writes down the epoch that was read, if the platform does not have it.
     fn confirm(&self, observed: Result<Observed>) -> ResponseActFuture<Self, Result<Observed>> {
         let confirmed = Confirmed { seat: self.seat(), epoch: self.tenure.epoch() };
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -259,6 +259,12 @@
         self.members.get(&host).map(|member| member.record.address)
     }
 
+    /// Whether nothing was heard of a host for `limit`, counted from `started` at the earliest.
+    pub fn is_silent(&self, host: Tag, limit: Duration, started: Instant, now: Instant) -> bool {
+        let heard = self.members.get(&host).map_or(started, |member| member.heard);
+        host != self.own.host && now.saturating_duration_since(heard.max(started)) > limit
+    }
+
     /// The hosts of a domain that may hold roles, this one included.
     pub fn eligible(&self, domain: Tag, now: Instant) -> Vec<Tag> {
         let own = (self.own.domain == domain && !self.own.leaving).then_some(self.own.host);
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -109,3 +109,20 @@
     let noticed = near.filter(|view| view.member(dead).is_none_or(|m| !m.is_alive(fleet.now)));
     assert_eq!(noticed.count(), HOSTS.div_ceil(DOMAINS as usize) - 1);
 }
+
+#[test]
+fn a_host_counts_as_silent_only_after_its_limit_and_never_the_own_one() {
+    let limit = Duration::from_secs(8);
+    let start = Instant::now();
+    let (mut view, other) = (view(0), view(1).own);
+    let at = |seconds| start + Duration::from_secs(seconds);
+    view.merge(std::slice::from_ref(&other), &[], at(2));
+    assert!(!view.is_silent(other.host, limit, start, at(10)));
+    assert!(view.is_silent(other.host, limit, start, at(11)));
+    // A host that has just started has heard nobody yet and concludes nothing.
+    assert!(!view.is_silent(other.host, limit, at(9), at(11)));
+    let unknown = Tag::of("unknown");
+    assert!(!view.is_silent(unknown, limit, start, at(8)));
+    assert!(view.is_silent(unknown, limit, start, at(9)));
+    assert!(!view.is_silent(view.own.host, limit, start, at(100)));
+}
