One copy of lost-and-regained logging; code that nothing calls removed

The readers of the configuration and of the upstreams each kept the same flag and wrote the same two lines; control::dependency does it for both. Splitter::discard, Registry::get, iter and len had no callers.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -19,6 +19,7 @@
 use crate::clock::boot;
 use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
+use crate::control::dependency::Dependency;
 use crate::control::follow::ALONE_AFTER;
 use crate::control::membership::{READER, READERS};
 use crate::peers::{Arrival, SharedCodec};
@@ -64,7 +65,7 @@
     archive: SharedArchive,
     publish: watch::Sender<Arc<Snapshot>>,
     freshness: watch::Sender<Freshness>,
-    is_reachable: bool,
+    store: Dependency,
     state: State,
     version: u64,
     pulling: bool,
@@ -93,7 +94,7 @@
             archive,
             publish,
             freshness,
-            is_reachable: true,
+            store: Dependency::new("store", "configuration"),
             state: State::default(),
             version: 0,
             pulling: false,
@@ -135,7 +136,11 @@
             foreign,
             after: self.version,
             // A plain read notices sooner than a watch that the store is back.
-            wait: if self.version == 0 || !self.is_reachable { Duration::ZERO } else { longest },
+            wait: if self.version == 0 || !self.store.is_reachable() {
+                Duration::ZERO
+            } else {
+                longest
+            },
         };
         let began = boot();
         let known = self.known_chunks();
@@ -146,14 +151,14 @@
             actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
             let pause = match pulled {
                 Ok(pulled) => {
-                    actor.note_reachable(None);
+                    actor.store.note(None::<&Error>);
                     let idle = pulled.version == 0;
                     actor.take(pulled, "platform");
                     actor.freshness.send_modify(|freshness| freshness.confirm(began));
                     if idle { WATCH_PAUSE } else { Duration::ZERO }
                 }
                 Err(error) => {
-                    actor.note_reachable(Some(&error));
+                    actor.store.note(Some(&error));
                     if error == Error::Missing {
                         // The store no longer has the history that the watch asked for.
                         actor.version = 0;
@@ -165,19 +170,6 @@
         }));
     }
 
-    fn note_reachable(&mut self, error: Option<&Error>) {
-        if self.is_reachable == error.is_none() {
-            return;
-        }
-        self.is_reachable = error.is_none();
-        match error {
-            None => log::info!("event=dependency_regained what=store reader=configuration"),
-            Some(error) => {
-                log::warn!("event=dependency_lost what=store reader=configuration error={error}");
-            }
-        }
-    }
-
     fn known_chunks(&self) -> HashMap<String, String> {
         let archive = self.archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         archive.chunks.clone()
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::control::configuration::SharedArchive;
+use crate::control::dependency::Dependency;
 use crate::control::follow::ALONE_AFTER;
 use crate::control::membership::{READER, READERS};
 use crate::deployment::Catalogue;
@@ -33,7 +34,7 @@
     registry: Registry,
     /// The version of the store up to which the registry was read, while it is followed.
     version: Option<u64>,
-    is_reachable: bool,
+    store: Dependency,
 }
 
 /// A list that a peer has and that may be newer.
@@ -61,7 +62,7 @@
             archive,
             registry: Registry::default(),
             version: None,
-            is_reachable: true,
+            store: Dependency::new("store", "listing"),
         }
     }
 
@@ -94,7 +95,7 @@
         self.shared.metrics.platform_calls.with_label_values(&[result]).inc();
         match read {
             Ok(listing) => {
-                self.note_reachable(None);
+                self.store.note(None::<&Error>);
                 self.apply(listing);
                 Duration::ZERO
             }
@@ -104,7 +105,7 @@
                 Duration::ZERO
             }
             Err(error) => {
-                self.note_reachable(Some(&error));
+                self.store.note(Some(&error));
                 // A watch that failed may have lost changes with its connection.
                 self.version = None;
                 FAILED_PAUSE
@@ -112,18 +113,6 @@
         }
     }
 
-    fn note_reachable(&mut self, error: Option<&Error>) {
-        if self.is_reachable != error.is_none() {
-            self.is_reachable = error.is_none();
-            match error {
-                None => log::info!("event=dependency_regained what=store reader=listing"),
-                Some(error) => {
-                    log::warn!("event=dependency_lost what=store reader=listing error={error}");
-                }
-            }
-        }
-    }
-
     fn apply(&mut self, listing: message::Listing) {
         let is_whole = self.version.is_none();
         if !is_whole && listing.items.is_empty() {
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod dependency;
 pub mod follow;
 pub mod listing;
 pub mod membership;
--- a/crates/damaskhatch/src/relay/events.rs
+++ b/crates/damaskhatch/src/relay/events.rs
@@ -39,11 +39,6 @@
     pub fn rest(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
-
-    /// Forgets an event that broke off.
-    pub fn discard(&mut self) {
-        self.pending.clear();
-    }
 }
 
 fn last_id(events: &[u8]) -> Option<u64> {
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -88,26 +88,11 @@
         keys.filter_map(|key| self.entries.get(key)).filter(|entry| !entry.is_leaving)
     }
 
-    /// The entry with this tag.
-    pub fn get(&self, upstream: Tag) -> Option<&Entry> {
-        self.entries.values().find(|entry| entry.tag == upstream)
-    }
-
     /// All entries by key.
     pub fn keyed(&self) -> impl Iterator<Item = (&String, &Entry)> {
         self.entries.iter()
     }
 
-    /// All entries.
-    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
-    }
-
-    /// The number of entries.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
     /// Whether nothing is registered.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
