Backlog of plain services limited by the target; better of two upstreams; spare readers pause

Change: hosts predict a request's time from what answers tell of waiting requests and refuse a growing part from 0.4 to 0.8 of the target; plain upstreams and prefill engines are the better of two drawn; hosts that are no readers pause 0.75 to 2.25 s after a failed read; a started host that holds no slots charges at the holders it finds before it has heard of all others.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -19,7 +19,7 @@
 use crate::clock::boot;
 use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
-use crate::control::dependency::Dependency;
+use crate::control::dependency::{self, Dependency};
 use crate::control::follow::ALONE_AFTER;
 use crate::control::membership::{READER, READERS};
 use crate::peers::{Arrival, SharedCodec};
@@ -163,7 +163,7 @@
                         // The store no longer has the history that the watch asked for.
                         actor.version = 0;
                     }
-                    failed_pause
+                    dependency::failed_pause(actor.is_reader(), failed_pause)
                 }
             };
             ctx.run_later(pause, |actor, ctx| actor.watch(ctx));
--- a/crates/damaskhatch/src/control/dependency.rs
+++ b/crates/damaskhatch/src/control/dependency.rs
@@ -1,6 +1,18 @@
 //! Says once when something that a host depends on is lost, and once when it is back.
 
 use std::fmt;
+use std::time::Duration;
+
+/// The mean pause after a failed read of a host that reads only because no reader helps it.
+///
+/// While the store is down, all hosts of a fleet are such hosts: at this pause 400 of them
+/// send fewer than 300 calls a second, and keys, which stop anyway, need no sooner read.
+const SPARE_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The pause after a failed read: `pause` for a reader, longer and spread for others.
+pub fn failed_pause(is_reader: bool, pause: Duration) -> Duration {
+    if is_reader { pause } else { SPARE_PAUSE.mul_f64(0.5 + rand::random::<f64>()) }
+}
 
 /// Whether one reader reaches what it depends on.
 #[derive(Debug)]
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::control::configuration::SharedArchive;
-use crate::control::dependency::Dependency;
+use crate::control::dependency::{Dependency, failed_pause};
 use crate::control::follow::ALONE_AFTER;
 use crate::control::membership::{READER, READERS};
 use crate::deployment::Catalogue;
@@ -66,11 +66,15 @@
         }
     }
 
+    fn is_reader(&self) -> bool {
+        self.shared.is_owner(READER, READERS)
+    }
+
     /// Reads everything, then only what changes.
     fn read(&mut self, ctx: &mut Context<Self>) {
         let is_alone =
             self.registry.is_empty() || self.shared.config_age().is_none_or(|a| a > ALONE_AFTER);
-        if !self.shared.is_owner(READER, READERS) && !is_alone {
+        if !self.is_reader() && !is_alone {
             self.version = None;
             ctx.run_later(IDLE_PAUSE, Self::read);
             return;
@@ -108,7 +112,7 @@
                 self.store.note(Some(&error));
                 // A watch that failed may have lost changes with its connection.
                 self.version = None;
-                FAILED_PAUSE
+                failed_pause(self.is_reader(), FAILED_PAUSE)
             }
         }
     }
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -87,20 +87,26 @@
 
     /// Takes the first step at once where an earlier life of this host held slots, for
     /// nobody may spend from them whole until this life has registered. Any other host
-    /// first waits for heartbeats that show who else is there.
+    /// asks the holders that it finds, and first waits for heartbeats that show who else
+    /// is there.
     fn begin(&self, ctx: &mut Context<Self>) {
         let (client, key) = (self.client(), self.keys.roster());
-        let host = self.shared.host;
         let known = async move {
-            let roster: Roster = store::decode(&client.get(&key).await?.value)?;
-            Ok::<_, Error>(roster.members.iter().any(|member| member.seat.host == host))
+            let item = client.get(&key).await?;
+            Ok::<_, Error>((store::decode::<Roster>(&item.value)?, item.version))
         };
         ctx.spawn(known.into_actor(self).map(|known, actor, ctx| match known {
-            Ok(true) => {
-                actor.is_returning = true;
-                actor.step(ctx);
+            Ok((roster, version)) => {
+                let host = actor.shared.host;
+                if roster.members.iter().any(|member| member.seat.host == host) {
+                    actor.is_returning = true;
+                    actor.step(ctx);
+                } else {
+                    actor.look(roster, version);
+                    actor.schedule(FIRST_STEP_DELAY, ctx);
+                }
             }
-            Ok(false) | Err(Error::Missing) => actor.schedule(FIRST_STEP_DELAY, ctx),
+            Err(Error::Missing) => actor.schedule(FIRST_STEP_DELAY, ctx),
             Err(error) => {
                 log::info!("event=roster_not_read error={error}");
                 actor.schedule(FIRST_STEP_DELAY, ctx);
@@ -148,10 +154,7 @@
         };
         ctx.spawn(read.into_actor(self).map(|read, actor, ctx| {
             match read {
-                Ok((roster, version)) => {
-                    actor.tenure.adopt(Some(roster), version, steady());
-                    actor.publish_tenure();
-                }
+                Ok((roster, version)) => actor.look(roster, version),
                 Err(Error::Missing) => {}
                 Err(error) => log::info!("event=roster_not_read error={error}"),
             }
@@ -159,6 +162,12 @@
         }));
     }
 
+    /// Takes in a roster that this host need not be part of.
+    fn look(&mut self, roster: Roster, version: u64) {
+        self.tenure.adopt(Some(roster), version, steady());
+        self.publish_tenure();
+    }
+
     fn schedule(&mut self, pause: Duration, ctx: &mut Context<Self>) {
         let next = ctx.run_later(pause, |actor, ctx| {
             guard(actor, ctx, |actor, ctx| {
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use damaskhatch_policy::backlog::Backlog;
 use damaskhatch_policy::length::Forecast;
 use damaskhatch_policy::outlier::Outliers;
 use damaskhatch_policy::placement::Known;
@@ -41,16 +42,35 @@
     pub in_flight: InFlight,
     /// The host's retry budget.
     pub budget: Arc<Mutex<Budget>>,
-    /// The retry budgets of routed services.
-    pub budgets: Arc<Mutex<HashMap<Service, Budget>>>,
     /// Upstreams of routed services that failed lately.
     pub outliers: Arc<Mutex<Outliers>>,
-    /// The lengths of the answers of routed models.
-    pub lengths: Arc<Mutex<HashMap<Service, Forecast>>>,
+    /// What was learned of routed services.
+    pub learned: Arc<Mutex<HashMap<Service, Learned>>>,
     /// Answers to requests that named an idempotency key.
     pub answers: idempotency::Answers,
 }
 
+/// What a host has learned of a routed service, mostly from its answers.
+#[derive(Debug)]
+pub struct Learned {
+    /// The retry budget.
+    pub budget: Budget,
+    /// The lengths of answers, if it is a model.
+    pub lengths: Forecast,
+    /// The backlog, if it is plain.
+    pub backlog: Backlog,
+}
+
+impl Default for Learned {
+    fn default() -> Self {
+        Self {
+            budget: Budget::new(&retry::SERVICE, Instant::now()),
+            lengths: Forecast::default(),
+            backlog: Backlog::default(),
+        }
+    }
+}
+
 impl Entry {
     /// Makes the state that all traffic threads share.
     pub fn new(shared: Shared, control: Control) -> Self {
@@ -61,9 +81,8 @@
             control,
             in_flight: InFlight::default(),
             budget,
-            budgets: Arc::default(),
             outliers: Arc::default(),
-            lengths: Arc::default(),
+            learned: Arc::default(),
             answers,
         }
     }
@@ -80,18 +99,18 @@
 
     /// Earns a part of a retry for a new request to a routed service.
     pub fn earn(&self, service: Service) {
-        self.with_budget(service, |budget, _now| budget.earn());
+        self.with_learned(service, |learned| learned.budget.earn());
     }
 
     /// Takes one retry from a routed service's budget, or returns false when it is spent.
     pub fn spend(&self, service: Service) -> bool {
-        self.with_budget(service, Budget::spend)
+        self.with_learned(service, |learned| learned.budget.spend(Instant::now()))
     }
 
-    fn with_budget<T>(&self, service: Service, act: impl Fn(&mut Budget, Instant) -> T) -> T {
-        let now = Instant::now();
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        act(budgets.entry(service).or_insert_with(|| Budget::new(&retry::SERVICE, now)), now)
+    /// Reads or changes what this host has learned of a routed service.
+    pub fn with_learned<T>(&self, service: Service, act: impl FnOnce(&mut Learned) -> T) -> T {
+        let mut learned = self.learned.lock().unwrap_or_else(PoisonError::into_inner);
+        act(learned.entry(service).or_default())
     }
 
     /// Upstreams of routed services that failed lately.
@@ -99,12 +118,6 @@
         self.outliers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// What was learned of the lengths of a service's answers.
-    pub fn with_lengths<T>(&self, service: Service, act: impl FnOnce(&mut Forecast) -> T) -> T {
-        let mut lengths = self.lengths.lock().unwrap_or_else(PoisonError::into_inner);
-        act(lengths.entry(service).or_default())
-    }
-
     /// The load of registered upstreams, by this host's own work and what peers said of theirs.
     pub fn known_loads(&self) -> Known {
         let mut known = self.shared.loads.snapshot();
--- a/crates/damaskhatch/src/relay/dialect.rs
+++ b/crates/damaskhatch/src/relay/dialect.rs
@@ -66,6 +66,8 @@
     pub reservation: &'static str,
     /// On answers: the upstream did not run the request.
     pub not_run: &'static str,
+    /// On answers: the requests that run and that wait there, and the slots, by commas.
+    pub load: &'static str,
     /// Further headers that callers may not set.
     pub reserved: &'static [&'static str],
 }
@@ -111,6 +113,7 @@
             kv_source: "x-damaskhatch-kv-source",
             reservation: "x-damaskhatch-reservation",
             not_run: "x-damaskhatch-not-run",
+            load: "x-damaskhatch-load",
             reserved: &[],
         },
         key_scheme: "Bearer",
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use damaskhatch_exchange::{Answer, Head};
 use damaskhatch_policy::attempt::{History, Outcome};
+use damaskhatch_policy::backlog::Told;
 use damaskhatch_policy::placement::{self, Load};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
@@ -30,6 +31,7 @@
     // A repeatable request's failed answer, passed on if no other attempt does better.
     let mut failed: Option<(Head, Bytes)> = None;
     entry.earn(routed.service);
+    check_backlog(entry, &routed)?;
     while let Some(upstream) = choose(entry, &routed, &tried) {
         tried.insert(upstream.tag);
         let number = history.sent + 1;
@@ -62,6 +64,25 @@
     Err(give_up(&routed, history))
 }
 
+/// Refuses a part of the requests while the service's upstreams are too far behind.
+fn check_backlog(entry: &Entry, routed: &Routed) -> Result<(), Refusal> {
+    let (now, target) = (Instant::now(), routed.route.target_latency);
+    let predicted = entry.with_learned(routed.service, |learned| {
+        let accepts = learned.backlog.accepts(target, rand::random(), now);
+        (!accepts).then(|| learned.backlog.predicted(now).unwrap_or_default())
+    });
+    let Some(predicted) = predicted else { return Ok(()) };
+    entry.shared.journal.record(
+        &routed.label,
+        format_args!(
+            "event=backlog predicted_ms={} target_ms={}",
+            predicted.as_millis(),
+            target.as_millis()
+        ),
+    );
+    Err(give_up(routed, History::default()))
+}
+
 fn give_up(routed: &Routed, history: History) -> Refusal {
     let kind = history.failure(Instant::now() >= routed.limit);
     let spread = FULL_RETRY_SPREAD.mul_f64(rand::random());
@@ -73,7 +94,9 @@
     routed: &Routed,
     upstream: &registry::Entry,
 ) -> Result<(Head, Bytes), Failure> {
+    let sent = Instant::now();
     let mut answer: Answer = send(entry, routed, upstream, &[]).await?;
+    note_load(entry, routed, &answer.head, sent);
     let read = tokio::time::timeout_at(routed.limit, answer.whole(MAX_ANSWER_BYTES)).await;
     match read {
         Ok(Ok(body)) => Ok((answer.head, body)),
@@ -82,6 +105,15 @@
     }
 }
 
+fn note_load(entry: &Entry, routed: &Routed, head: &Head, sent: Instant) {
+    let told = head.headers.get(entry.names().load).and_then(|told| told.to_str().ok());
+    if let Some(told) = told.and_then(Told::parse).filter(|_| head.status.is_success()) {
+        let now = Instant::now();
+        let took = now.saturating_duration_since(sent);
+        entry.with_learned(routed.service, |learned| learned.backlog.observe(told, took, now));
+    }
+}
+
 fn choose(entry: &Entry, routed: &Routed, tried: &HashSet<Tag>) -> Option<registry::Entry> {
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -143,8 +143,9 @@
 ) -> Result<Reservation, Refusal> {
     let Tokens { prompt, most_output, hint } = routed.tokens.unwrap_or_default();
     let room = terms.memory_tokens;
-    let need = entry.with_lengths(routed.service, |forecast| {
-        admission::need(forecast, (prompt, most_output), hint, progress.tokens_done, room)
+    let need = entry.with_learned(routed.service, |learned| {
+        let tokens = (prompt, most_output);
+        admission::need(&learned.lengths, tokens, hint, progress.tokens_done, room)
     });
     let patience = admission::patience(routed.route.target_latency);
     // The caller of a broken stream counts the pause, not the time since its request.
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -132,8 +132,8 @@
         let Parts { entry, routed, running, .. } = &self.parts;
         if let (Some(tokens), Some(last)) = (routed.tokens, self.splitter.last_id()) {
             let actual = last as u32 * running.event_tokens;
-            entry.with_lengths(routed.service, |forecast| {
-                forecast.observe(tokens.most_output, tokens.hint, actual);
+            entry.with_learned(routed.service, |learned| {
+                learned.lengths.observe(tokens.most_output, tokens.hint, actual);
             });
         }
     }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -5,6 +5,10 @@
 //! peers last said of theirs, and a reservation at the engine itself decides in
 //! the end. Of upstreams with equal load the own domain's is taken, then one at
 //! random, so that hosts do not all turn to the same.
+//!
+//! What peers said is old by the time of some heartbeats. Where no reservation
+//! corrects it, the better of two upstreams drawn at random is taken: the least
+//! loaded of all would get the work of every host until the next heartbeats.
 
 use std::collections::HashMap;
 
@@ -69,6 +73,24 @@
     ranked.into_iter().map(|(_, entry)| entry).collect()
 }
 
+/// The better of two upstreams drawn at random first, then the others by load.
+fn better_of_two<'a>(
+    candidates: impl Iterator<Item = &'a Entry>,
+    known: &Known,
+    domain: Tag,
+    rng: &mut impl rand::Rng,
+    weigh: impl Fn(&Load, &Entry) -> u64,
+) -> Vec<&'a Entry> {
+    let mut ranked = by_load(candidates, known, domain, rng, weigh);
+    if ranked.len() > 2 {
+        let one = rng.random_range(0..ranked.len());
+        let other = rng.random_range(0..ranked.len() - 1);
+        let better = one.min(if other < one { other } else { other + 1 });
+        ranked[..=better].rotate_right(1);
+    }
+    ranked
+}
+
 /// Decode engines in the order in which to ask them for a reservation.
 pub fn decode<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
@@ -95,24 +117,24 @@
     ranked.iter().take(most).filter(has_room).count().max(1)
 }
 
-/// Prefill engines, that with the least prompt tokens ahead first.
+/// Prefill engines, of two the one with the least prompt tokens ahead first.
 pub fn prefill<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
     known: &Known,
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
-    by_load(candidates, known, domain, rng, |load, _| u64::from(load.prefill_tokens))
+    better_of_two(candidates, known, domain, rng, |load, _| u64::from(load.prefill_tokens))
 }
 
-/// Plain upstreams, that with the least requests for its slots first.
+/// Plain upstreams, of two the one with the least requests for its slots first.
 pub fn plain<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
     known: &Known,
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
-    by_load(candidates, known, domain, rng, |load, entry| {
+    better_of_two(candidates, known, domain, rng, |load, entry| {
         u64::from(load.requests) * 1_000 / u64::from(entry.slots.max(1))
     })
 }
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -306,3 +306,27 @@
     outliers.succeed(upstream);
     assert!(!outliers.is_ejected(upstream, at(1_400)));
 }
+
+#[test]
+fn hosts_that_have_the_same_old_news_do_not_all_turn_to_one_upstream() {
+    let names: Vec<String> = (0..5).map(|n| format!("u{n}")).collect();
+    let upstreams: Vec<_> = names.iter().map(|name| engine(name, "a", Role::Prefill)).collect();
+    let load = |n: u32| Load { requests: 10 * n, memory_tokens: 0, prefill_tokens: 9_000 * n };
+    let known: placement::Known = (0..5).map(|n| (upstreams[n as usize].tag, load(n))).collect();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut taken = [0_u32; 5];
+    for host in 0..1_000 {
+        let candidates = upstreams.iter();
+        let ranked = if host % 2 == 0 {
+            placement::plain(candidates, &known, Tag::of("b"), &mut rng)
+        } else {
+            placement::prefill(candidates, &known, Tag::of("b"), &mut rng)
+        };
+        assert_eq!(ranked.len(), 5, "the others are there to fall back on");
+        let first = upstreams.iter().position(|upstream| upstream.tag == ranked[0].tag);
+        taken[first.expect("it is one of them")] += 1;
+    }
+    assert!(taken[0] < 450, "the emptiest upstream gets two fifths: {taken:?}");
+    assert!(taken.is_sorted_by(|one, next| one > next), "emptier ones get more: {taken:?}");
+    assert_eq!(taken[4], 0, "the fullest is never the better of two");
+}
--- a/crates/standins/tests/rates.rs
+++ b/crates/standins/tests/rates.rs
@@ -175,6 +175,46 @@
     .await;
 }
 
+#[actix_web::test]
+async fn a_started_host_that_holds_no_slots_charges_before_it_knows_all_others() {
+    let mut fleet = proxied(|plan| {
+        plan.domains.truncate(1);
+        plan.hosts_per_domain = 6;
+        plan.teams.push(("metered".to_owned(), RATE, BURST));
+    })
+    .await;
+    let status = fleet::get(fleet.hosts[0].operator, "/v1/status").await.expect("a status");
+    let listed = status["hosts"].as_array().cloned().unwrap_or_default();
+    let holds_none = |name: &str| {
+        let tag = damaskhatch_policy::prelude::Tag::of(name).to_string();
+        let own = listed.iter().find(|host| host["host"] == tag.as_str());
+        own.is_some_and(|host| host["slots"].as_u64() == Some(0))
+    };
+    let index = fleet.hosts.iter().position(|host| holds_none(&host.process.name));
+    let index = index.expect("four of six hosts hold slots");
+    let mut started = fleet.hosts.remove(index);
+    started.process.kill();
+    fleet.restart(&mut started.process).expect("the host starts");
+    let bearer = format!("Bearer {}", fleet.keys["metered"]);
+    let headers = [("authorization", &*bearer)];
+    let path = format!("/services/{SERVICE}/book");
+    let end = Instant::now() + Duration::from_secs(8);
+    let mut first_refusal: Option<Instant> = None;
+    loop {
+        let reply = call(started.process.address, &path, &headers, "x").await;
+        if reply.as_ref().is_ok_and(|reply| reply.status == 200) {
+            break;
+        }
+        if reply.as_ref().is_ok_and(|reply| reply.code() == "unavailable") {
+            first_refusal.get_or_insert_with(Instant::now);
+        }
+        assert!(Instant::now() < end, "no charged call is answered: {reply:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    let refused_for = first_refusal.map(|at| at.elapsed()).unwrap_or_default();
+    assert!(refused_for < Duration::from_millis(1_200), "charges failed for {refused_for:?}");
+}
+
 /// The peer address of the host that a status comes from: the one it lists first.
 fn restarted_address(status: &serde_json::Value) -> serde_json::Value {
     let name = status["name"].as_str().unwrap_or("");
