--- a/crates/damaskhatch/src/cli/args.rs
+++ b/crates/damaskhatch/src/cli/args.rs
@@ -67,9 +67,12 @@
         /// Print JSON for machines
         json: bool,
     },
-    /// Show the decisions on a request that the given hosts remember
+    /// Show the decisions on a request that the given hosts remember, or that logs tell of
     #[bpaf(command("explain"))]
     Explain {
+        /// Log of a host to read instead of asking hosts; - for standard input; several are merged
+        #[bpaf(long("log"), argument("FILE"), many)]
+        logs: Vec<PathBuf>,
         /// Request id, as in the x-request-id header
         #[bpaf(positional("REQUEST-ID"))]
         request: String,
--- a/crates/damaskhatch/src/cli/mod.rs
+++ b/crates/damaskhatch/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod keys;
 pub mod report;
 pub mod sheets;
+pub mod story;
 
 use args::{Command, KeyCommand, Options, SheetCommand};
 use call::Error;
@@ -31,7 +32,10 @@
         }
         Command::Key(KeyCommand::List) => keys::list(hosts).await,
         Command::Status { json } => report::status(hosts, json).await,
-        Command::Explain { request } => report::explain(hosts, &request).await,
+        Command::Explain { logs, request } if logs.is_empty() => {
+            report::explain(hosts, &request).await
+        }
+        Command::Explain { logs, request } => report::explain_logs(&logs, &request),
         Command::Drain => report::drain(hosts).await,
     };
     match done {
--- a/crates/damaskhatch/src/cli/report.rs
+++ b/crates/damaskhatch/src/cli/report.rs
@@ -1,8 +1,13 @@
 //! `damaskhatch status`, `explain` and `drain`.
 
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::{Path, PathBuf};
+
 use serde_json::json;
 
 use super::call::{Error, Result, get, post};
+use super::story::Story;
 use crate::operator::Status;
 
 /// Shows the fleet as one host sees it.
@@ -58,6 +63,28 @@
     Ok(())
 }
 
+/// Shows the decisions on a request that logs tell of.
+pub fn explain_logs(logs: &[PathBuf], request: &str) -> Result<()> {
+    let mut story = Story::of(request);
+    for log in logs {
+        let source = if logs.len() > 1 { log.display().to_string() } else { String::new() };
+        let read = if log == Path::new("-") {
+            story.read(&source, io::stdin().lock())
+        } else {
+            File::open(log).and_then(|file| story.read(&source, BufReader::new(file)))
+        };
+        read.map_err(|error| Error::Refused(format!("{}: {error}", log.display())))?;
+    }
+    if story.left_out() > 0 {
+        eprintln!("{} lines were left out of these logs by their hosts", story.left_out());
+    }
+    if story.is_empty() {
+        return Err(Error::Refused(format!("no given log tells of {request}")));
+    }
+    story.told().iter().for_each(|line| println!("{line}"));
+    Ok(())
+}
+
 /// Starts a graceful stop of the first given host.
 pub async fn drain(hosts: &[String]) -> Result<()> {
     let first = hosts.get(..1).unwrap_or_default();
