--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -398,3 +398,31 @@
         }
     }
 }
+
+#[test]
+fn a_lower_limit_binds_from_the_next_charge_on_however_full_the_bucket_was() {
+    let lower = Limits { rate: LIMITS.rate / 10.0, burst: LIMITS.burst / 10.0 };
+    let standing = |limits| Standing { limits, part: 1.0, since: None };
+    let start = Instant::now();
+    let mut holder = Holder::new(domain(0), 1);
+    let mut serial = 0;
+    let mut charge = |tokens, limits, now| {
+        serial += 1;
+        let request = Request { host: Tag(1), incarnation: 1, serial };
+        let charge = Charge { request, team: TEAM, tokens };
+        let decisions = holder.charge(charge, standing(limits), &[], now);
+        decisions.iter().any(|d| matches!(d, Decision::Answer(_, Verdict::Admitted)))
+    };
+    assert!(charge(10.0, LIMITS, start), "the bucket is there and nearly full");
+    let changed = start + Duration::from_secs(1);
+    let mut admitted = 0.0;
+    for step in 0..500_u32 {
+        let now = changed + Duration::from_millis(10) * step;
+        if charge(5.0, lower, now) {
+            admitted += 5.0;
+        }
+        let allowed = lower.burst + lower.rate * 0.01 * f64::from(step);
+        assert!(admitted <= allowed + EPSILON, "{admitted} of {allowed} after step {step}");
+    }
+    assert!(admitted > lower.rate * 4.0, "and what the team still has is served: {admitted}");
+}
