--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -7,8 +7,9 @@
 use std::collections::HashSet;
 
 use actix_web::http::Method;
-use actix_web::http::header::{self, HeaderMap, HeaderName};
+use actix_web::http::header::HeaderMap as CallerHeaders;
 use actix_web::{HttpRequest, HttpResponse, web};
+use damaskhatch_exchange::HeaderMap;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, MAX_ATTEMPTS};
@@ -26,24 +27,10 @@
 use super::refusal::Refusal;
 use super::{Entry, read_body};
 use crate::control::strikes;
+use crate::headers;
 use crate::upstream::engine::{Error, attempt_tag};
 use crate::upstream::plain;
 
-/// Headers that belong to one connection or name the caller's secret.
-const DROPPED: [HeaderName; 11] = [
-    header::AUTHORIZATION,
-    header::PROXY_AUTHORIZATION,
-    header::COOKIE,
-    header::CONNECTION,
-    header::HOST,
-    header::CONTENT_LENGTH,
-    header::TRANSFER_ENCODING,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-    header::EXPECT,
-];
-
 /// A call that may run.
 #[derive(Debug)]
 struct Work {
@@ -153,25 +140,13 @@
 }
 
 /// The headers an upstream sees: never the caller's key.
-fn passed_on(headers: &HeaderMap, caller: &Caller, id: Request) -> HeaderMap {
-    let listed = headers.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
-    let named: HashSet<String> =
-        listed.flat_map(|v| v.split(',')).map(|n| n.trim().to_ascii_lowercase()).collect();
-    let mut kept = HeaderMap::new();
-    for (name, value) in headers {
-        let dropped = DROPPED.contains(name) || named.contains(name.as_str());
-        let secret =
-            name.as_str().contains("api-key") || name.as_str().starts_with("x-damaskhatch");
-        if !dropped && !secret {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    let own = [("x-request-id", id.to_string()), ("x-damaskhatch-team", caller.name.clone())];
-    for (name, value) in own {
-        if let Ok(value) = header::HeaderValue::from_str(&value) {
-            kept.insert(HeaderName::from_static(name), value);
-        }
-    }
+fn passed_on(sent: &CallerHeaders, caller: &Caller, id: Request) -> HeaderMap {
+    let mut kept = headers::to_upstream(sent, |name| {
+        let is_secret = name == "cookie" || name.contains("api-key");
+        is_secret || name == "host" || name.starts_with("x-damaskhatch")
+    });
+    headers::set(&mut kept, "x-request-id", &id.to_string());
+    headers::set(&mut kept, "x-damaskhatch-team", &caller.name);
     kept
 }
 
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod deployment;
 pub mod diff;
 pub mod entry;
+pub mod headers;
 pub mod host;
 pub mod logging;
 pub mod metrics;
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use damaskhatch_exchange::{self as exchange, Answer, HeaderName, HeaderValue};
+use damaskhatch_exchange::{self as exchange, Answer};
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
 use crate::entry::Entry;
+use crate::headers;
 use crate::relay::dialect::Outgoing;
 use crate::relay::request::Routed;
 
@@ -37,7 +38,7 @@
     /// The failure of an exchange.
     pub fn of(error: &exchange::Error) -> Self {
         let outcome = match error {
-            exchange::Error::Unsent(_) => Outcome::NotRun,
+            exchange::Error::Refused | exchange::Error::Unsent(_) => Outcome::NotRun,
             exchange::Error::Broken(_) | exchange::Error::TooLong(_) => Outcome::Unknown,
         };
         Self { outcome, reason: error.to_string(), is_upstream_bad: true }
@@ -65,10 +66,7 @@
     let deadline = routed.left_ms(Instant::now()).to_string();
     let own = [(names.deadline, deadline), (names.instance, upstream.instance.clone())];
     for (name, value) in own.iter().chain(extra) {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
-            headers.insert(name, value);
-        }
+        headers::set(&mut headers, name, value);
     }
     let mut request = exchange::Request::new(routed.body.clone());
     *request.method_mut() = routed.method.clone();
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashSet;
 
-use damaskhatch_exchange::{Answer, HeaderName, HeaderValue};
+use damaskhatch_exchange::Answer;
 use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::placement::{self, Known, Load};
@@ -23,6 +23,7 @@
 use super::request::{Routed, Tokens};
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
+use crate::headers;
 
 /// Decode engines asked for a reservation in one round.
 const ASKED_PER_ROUND: usize = 3;
@@ -80,7 +81,9 @@
     let snapshot = entry.shared.snapshot();
     let terms = snapshot.services[routed.service].engines.unwrap_or_default();
     let urgency = routed.priority(&snapshot);
-    name_last_event(entry, routed, progress.last_event);
+    if let Some(last) = progress.last_event {
+        headers::set(&mut routed.headers, entry.names().last_event, &last.to_string());
+    }
     loop {
         let mut reservation = reserve(entry, routed, terms, progress).await?;
         let export = prefill(entry, routed, progress).await;
@@ -126,14 +129,6 @@
         && entry.spend(routed.service)
 }
 
-/// Sets the header that tells engines after which event to go on.
-fn name_last_event(entry: &Entry, routed: &mut Routed, last_event: Option<u64>) {
-    let name = HeaderName::from_bytes(entry.names().last_event.as_bytes());
-    if let (Some(last), Ok(name)) = (last_event, name) {
-        routed.headers.insert(name, HeaderValue::from(last));
-    }
-}
-
 /// Reserves at the decode engine with the most room, or refuses.
 async fn reserve(
     entry: &Entry,
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -3,7 +3,7 @@
 use actix_web::http::header::{self, HeaderMap as CallerHeaders};
 use actix_web::{HttpRequest, web};
 use bytes::Bytes;
-use damaskhatch_exchange::{HeaderMap, HeaderName, HeaderValue, Method};
+use damaskhatch_exchange::{HeaderMap, Method};
 use damaskhatch_policy::admission;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::prelude::*;
@@ -14,23 +14,9 @@
 use crate::entry::hold::Charged;
 use crate::entry::refusal::Refusal;
 use crate::entry::{Entry, read_body};
+use crate::headers;
 use crate::relay::dialect::{Dialect, Headers};
 
-/// Headers that concern one connection only, or that the new connection sets itself.
-const PER_CONNECTION: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "content-length",
-    "authorization",
-];
-
 /// The tokens that a request names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Tokens {
@@ -226,10 +212,7 @@
 }
 
 /// The headers that every attempt passes on: never a key, nothing the system sets itself.
-fn passed_on(headers: &CallerHeaders, dialect: &Dialect, caller: Option<&Caller>) -> HeaderMap {
-    let listed = headers.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
-    let named: Vec<String> =
-        listed.flat_map(|list| list.split(',')).map(|n| n.trim().to_ascii_lowercase()).collect();
+fn passed_on(sent: &CallerHeaders, dialect: &Dialect, caller: Option<&Caller>) -> HeaderMap {
     let own = &dialect.headers;
     let set_by_us = [
         own.team,
@@ -241,26 +224,12 @@
         own.deadline,
         own.not_run,
     ];
-    let is_ours = |name: &str| {
+    let mut kept = headers::to_upstream(sent, |name| {
         let mut ours = set_by_us.iter().chain(own.reserved);
         ours.any(|ours| ours.eq_ignore_ascii_case(name))
-    };
-    let mut kept = HeaderMap::new();
-    for (name, value) in headers {
-        let text = name.as_str();
-        if PER_CONNECTION.contains(&text) || is_ours(text) || named.iter().any(|n| n == text) {
-            continue;
-        }
-        let name = HeaderName::from_bytes(text.as_bytes());
-        let value = HeaderValue::from_bytes(value.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, value) {
-            kept.append(name, value);
-        }
-    }
-    if let Some(team) = caller.and_then(|caller| HeaderValue::from_str(&caller.name).ok())
-        && let Ok(name) = HeaderName::from_bytes(own.team.as_bytes())
-    {
-        kept.insert(name, team);
+    });
+    if let Some(caller) = caller {
+        headers::set(&mut kept, own.team, &caller.name);
     }
     kept
 }
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -3,19 +3,20 @@
 //! Every call opens a connection of its own: an open one may have gone silent
 //! without either end knowing, and a call that is cancelled ends with it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
-use awc::http::StatusCode;
 use bytes::Bytes;
+use damaskhatch_exchange::{self as exchange, Answer, HeaderMap, StatusCode};
 use damaskhatch_policy::prelude::{Request, Tag};
 use damaskhatch_policy::retry::Reach;
 use damaskhatch_policy::schedule::engine::Load;
 use displaydoc::Display;
-use futures_util::StreamExt;
 use prometheus::IntGauge;
 use serde::Serialize;
 
+use crate::headers;
+
 use super::message::{Decode, Line, Named, Prefill, Prefilled, Requests, Resume};
 
 /// How long a connection may take to open.
@@ -30,6 +31,8 @@
 const CANCEL_PAUSE: Duration = Duration::from_millis(200);
 /// How long a cancellation is repeated.
 const CANCEL_LIFE: Duration = Duration::from_mins(1);
+/// The longest JSON answer, in bytes.
+const MAX_JSON_BYTES: usize = 4 << 20;
 /// The longest line of a token stream, in bytes.
 const MAX_LINE_BYTES: usize = 64 << 10;
 
@@ -72,25 +75,43 @@
 /// The result of this layer.
 pub type Result<T> = std::result::Result<T, Error>;
 
-thread_local! {
-    static CLIENT: awc::Client = awc::Client::builder()
-        .connector(awc::Connector::new().timeout(CONNECT_TIMEOUT))
-        .add_default_header(("connection", "close"))
-        .timeout(PREFILL_LIMIT)
-        .finish();
+impl From<exchange::Error> for Error {
+    fn from(error: exchange::Error) -> Self {
+        match error {
+            exchange::Error::Refused => Self::Refused,
+            exchange::Error::Unsent(_) => Self::Connect,
+            exchange::Error::Broken(_) => Self::Broken,
+            exchange::Error::TooLong(_) => Self::Malformed,
+        }
+    }
 }
 
-fn client() -> awc::Client {
-    CLIENT.with(Clone::clone)
+/// Sends a request on a connection of its own and waits for the head of its answer.
+pub async fn send(
+    address: &str,
+    method: &str,
+    target: &str,
+    mut headers: HeaderMap,
+    body: Bytes,
+) -> Result<Answer> {
+    headers::set(&mut headers, "host", address);
+    let address: SocketAddr = address.parse().map_err(|_error| Error::Connect)?;
+    let mut request =
+        exchange::Request::builder().method(method).uri(target).body(body).map_err(|error| {
+            log::warn!("event=request_not_built target={target} error={error}");
+            Error::Connect
+        })?;
+    *request.headers_mut() = headers;
+    Ok(exchange::send(address, CONNECT_TIMEOUT, request).await?)
 }
 
-type Response = awc::ClientResponse<actix_web::dev::Decompress<actix_web::dev::Payload>>;
-
-async fn post(address: &str, path: &str, body: &impl Serialize) -> Result<Response> {
-    let sent = client().post(format!("http://{address}{path}")).send_json(body).await;
-    let response = sent.map_err(|error| send_error(&error))?;
-    match response.status() {
-        status if status.is_success() => Ok(response),
+async fn post(address: &str, path: &str, body: &impl Serialize) -> Result<Answer> {
+    let body = serde_json::to_vec(body).map_err(|_error| Error::Malformed)?;
+    let mut headers = HeaderMap::new();
+    headers::set(&mut headers, "content-type", "application/json");
+    let answer = send(address, "POST", path, headers, body.into()).await?;
+    match answer.head.status {
+        status if status.is_success() => Ok(answer),
         StatusCode::NOT_FOUND | StatusCode::GONE => Err(Error::Gone),
         // Engines certify with these that they did not start the request.
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(Error::Declined),
@@ -98,33 +119,22 @@
     }
 }
 
-/// What a failure to send means for the request.
-pub fn send_error(error: &SendRequestError) -> Error {
-    match error {
-        SendRequestError::Connect(ConnectError::Io(io))
-            if io.kind() == std::io::ErrorKind::ConnectionRefused =>
-        {
-            Error::Refused
-        }
-        // The client calls it this when the connection ends before the answer begins.
-        SendRequestError::Connect(ConnectError::Disconnected) => Error::Broken,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Error::Connect,
-        SendRequestError::Timeout => Error::Silent,
-        _ => Error::Broken,
-    }
+/// Reads the rest of a JSON answer.
+async fn json<T: serde::de::DeserializeOwned>(mut answer: Answer) -> Result<T> {
+    let body = answer.whole(MAX_JSON_BYTES).await?;
+    serde_json::from_slice(&body).map_err(|_error| Error::Malformed)
 }
 
 /// Runs a prompt; probes over a new connection while no answer comes.
 pub async fn prefill(address: &str, call: &Prefill) -> Result<Prefilled> {
-    let answer = async {
-        let mut response = post(address, "/prefill", call).await?;
-        let prefilled: Prefilled = response.json().await.map_err(|_error| Error::Broken)?;
+    let answer = tokio::time::timeout(PREFILL_LIMIT, async {
+        let prefilled: Prefilled = json(post(address, "/prefill", call).await?).await?;
         if prefilled.request == call.request { Ok(prefilled) } else { Err(Error::Crossed) }
-    };
+    });
     tokio::pin!(answer);
     loop {
         tokio::select! {
-            answered = &mut answer => return answered,
+            answered = &mut answer => return answered.unwrap_or(Err(Error::Silent)),
             () = tokio::time::sleep(SILENCE_LIMIT) => {
                 if let Some(prefilled) = probe_prefill(address, call).await? {
                     return Ok(prefilled);
@@ -138,28 +148,23 @@
 async fn probe_prefill(address: &str, call: &Prefill) -> Result<Option<Prefilled>> {
     let named = Named { request: call.request.clone() };
     let probe = async {
-        let mut response = post(address, "/prefilled", &named).await?;
-        if response.status() == StatusCode::ACCEPTED {
+        let answer = post(address, "/prefilled", &named).await?;
+        if answer.head.status == StatusCode::ACCEPTED {
             return Ok(None);
         }
-        response.json().await.map(Some).map_err(|_error| Error::Broken)
+        json(answer).await.map(Some)
     };
     tokio::time::timeout(CALL_TIMEOUT, probe).await.unwrap_or(Err(Error::Silent))
 }
 
 /// A stream of the tokens of one request.
+#[derive(Debug)]
 pub struct Tokens {
     request: String,
-    response: Response,
+    answer: Answer,
     buffer: Vec<u8>,
 }
 
-impl std::fmt::Debug for Tokens {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Tokens").field("request", &self.request).finish_non_exhaustive()
-    }
-}
-
 /// Starts to generate tokens.
 pub async fn decode(address: &str, call: &Decode) -> Result<Tokens> {
     stream(address, "/decode", call, &call.request).await
@@ -172,8 +177,8 @@
 
 async fn stream(address: &str, path: &str, call: &impl Serialize, request: &str) -> Result<Tokens> {
     let opened = tokio::time::timeout(SILENCE_LIMIT * 2, post(address, path, call)).await;
-    let response = opened.unwrap_or(Err(Error::Silent))?;
-    Ok(Tokens { request: request.to_owned(), response, buffer: Vec::new() })
+    let answer = opened.unwrap_or(Err(Error::Silent))?;
+    Ok(Tokens { request: request.to_owned(), answer, buffer: Vec::new() })
 }
 
 impl Tokens {
@@ -199,9 +204,10 @@
     }
 
     async fn next_chunk(&mut self) -> Result<Bytes> {
-        match tokio::time::timeout(SILENCE_LIMIT, self.response.next()).await {
-            Ok(Some(Ok(chunk))) => Ok(chunk),
-            Ok(Some(Err(_)) | None) => Err(Error::Broken),
+        match tokio::time::timeout(SILENCE_LIMIT, self.answer.next()).await {
+            Ok(Some(chunk)) => Ok(chunk?),
+            // The last line says that it is the last, so an end before it is too early.
+            Ok(None) => Err(Error::Broken),
             Err(_elapsed) => Err(Error::Silent),
         }
     }
@@ -249,11 +255,11 @@
 
 async fn get<T: serde::de::DeserializeOwned>(address: &str, path: &str) -> Option<T> {
     let call = async {
-        let mut response = client().get(format!("http://{address}{path}")).send().await.ok()?;
-        if !response.status().is_success() {
+        let answer = send(address, "GET", path, HeaderMap::new(), Bytes::new()).await.ok()?;
+        if !answer.head.status.is_success() {
             return None;
         }
-        response.json().await.ok()
+        json(answer).await.ok()
     };
     tokio::time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
 }
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -2,25 +2,23 @@
 
 use std::time::Duration;
 
-use actix_web::http::header::{self, HeaderMap, HeaderName};
+use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
+use damaskhatch_exchange::HeaderMap;
 use damaskhatch_policy::prelude::Request;
 
-use super::engine::{Error, Result, send_error};
+use super::engine::{Error, Result, send};
 use crate::entry::idempotency::Answer;
+use crate::headers;
 
-/// How long a connection may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a look at whether an upstream still runs may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The largest answer that is passed on, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// The header in which an upstream certifies that it did not run a call.
 const NOT_RUN: &str = "x-not-run";
 
-/// Response headers that belong to one connection.
-const DROPPED: [HeaderName; 4] =
-    [header::CONNECTION, header::TRANSFER_ENCODING, header::CONTENT_LENGTH, header::UPGRADE];
-
 /// A call as an upstream sees it.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -36,34 +34,21 @@
     pub timeout: Duration,
 }
 
-thread_local! {
-    static CLIENT: awc::Client = awc::Client::builder()
-        .connector(awc::Connector::new().timeout(CONNECT_TIMEOUT))
-        .disable_redirects()
-        .no_default_headers()
-        .finish();
-}
-
 /// Makes the call on a connection of its own, and waits for the whole answer.
 pub async fn call(address: &str, call: &Call, request: Request) -> Result<Answer> {
-    let client = CLIENT.with(Clone::clone);
-    let url = format!("http://{address}{}", call.target);
-    let mut outgoing = client.request(call.method.clone(), url).timeout(call.timeout);
-    outgoing = outgoing.no_decompress().force_close();
-    for (name, value) in &call.headers {
-        outgoing.headers_mut().append(name.clone(), value.clone());
-    }
     let exchange = async {
-        let sent = outgoing.send_body(call.body.clone()).await;
-        let mut response = sent.map_err(|error| send_error(&error))?;
-        let body = response.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|_error| Error::Broken)?;
-        check(response.status(), response.headers(), request)?;
-        Ok(Answer {
-            status: response.status(),
-            headers: passed_back(response.headers(), request),
-            body,
-        })
+        let (method, target) = (call.method.as_str(), call.target.as_str());
+        let sent = send(address, method, target, call.headers.clone(), call.body.clone());
+        let mut answer = sent.await?;
+        let body = answer.whole(MAX_ANSWER_BYTES).await?;
+        let status = StatusCode::from_u16(answer.head.status.as_u16());
+        let status = status.map_err(|_error| Error::Malformed)?;
+        check(status, &answer.head.headers, request)?;
+        let mut headers = headers::to_caller(&answer.head.headers);
+        if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
+            headers.insert(HeaderName::from_static("x-request-id"), value);
+        }
+        Ok(Answer { status, headers, body })
     };
     tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Silent))
 }
@@ -78,20 +63,9 @@
     if declined { Err(Error::Declined) } else { Ok(()) }
 }
 
-fn passed_back(headers: &HeaderMap, request: Request) -> HeaderMap {
-    let mut kept = HeaderMap::new();
-    for (name, value) in headers.iter().filter(|(name, _)| !DROPPED.contains(name)) {
-        kept.append(name.clone(), value.clone());
-    }
-    if let Ok(value) = header::HeaderValue::from_str(&request.to_string()) {
-        kept.insert(HeaderName::from_static("x-request-id"), value);
-    }
-    kept
-}
-
 /// Whether a new connection shows that nothing runs at the address any more.
 pub async fn is_dead(address: &str) -> bool {
-    let probe = CLIENT.with(Clone::clone).get(format!("http://{address}/load"));
-    let answered = probe.timeout(CONNECT_TIMEOUT).force_close().send().await;
-    answered.is_err_and(|error| matches!(send_error(&error), Error::Refused | Error::Broken))
+    let probe = send(address, "GET", "/load", HeaderMap::new(), Bytes::new());
+    let answered = tokio::time::timeout(PROBE_TIMEOUT, probe).await;
+    matches!(answered, Ok(Err(Error::Refused | Error::Broken)))
 }
--- /dev/null
+++ b/crates/damaskhatch/tests/cut_answers.rs
@@ -0,0 +1,74 @@
+//! Answers of plain services and engines that end early are never taken for whole ones.
+
+use std::time::Duration;
+
+use actix_web::http::Method;
+use damaskhatch::upstream::engine::{self, Error};
+use damaskhatch::upstream::message::Prefill;
+use damaskhatch::upstream::plain::{self, Call};
+use damaskhatch_exchange::HeaderMap;
+use damaskhatch_policy::prelude::{Request, Tag};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const REQUEST: Request = Request { host: Tag(1), incarnation: 2, serial: 3 };
+
+/// Starts a server that answers everything with some bytes and closes; returns its address.
+async fn serve(bytes: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let _read = stream.read(&mut request).await;
+            let _written = stream.write_all(bytes.as_bytes()).await;
+        }
+    });
+    address
+}
+
+async fn call(bytes: &'static str) -> Result<Vec<u8>, Error> {
+    let call = Call {
+        method: Method::GET,
+        target: "/look".to_owned(),
+        headers: HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        timeout: Duration::from_secs(2),
+    };
+    let answer = plain::call(&serve(bytes).await, &call, REQUEST).await?;
+    Ok(answer.body.to_vec())
+}
+
+#[actix_rt::test]
+async fn a_plain_answer_counts_only_as_a_whole() {
+    let whole = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    assert_eq!(call(whole).await, Ok(b"body".to_vec()));
+    assert_eq!(call("HTTP/1.1 200 OK\r\n\r\nbody").await, Ok(b"body".to_vec()), "no framing");
+    for cut in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbo",
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nconte",
+        "",
+    ] {
+        assert_eq!(call(cut).await, Err(Error::Broken), "{cut:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn an_engines_cut_answer_is_no_answer() {
+    let prompt = Prefill {
+        request: REQUEST.to_string(),
+        team: "release".to_owned(),
+        prompt: "p".to_owned(),
+        priority: 0,
+    };
+    let cut = "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"request\":";
+    assert_eq!(engine::prefill(&serve(cut).await, &prompt).await, Err(Error::Broken));
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = closed.local_addr().expect("an address").to_string();
+    drop(closed);
+    assert_eq!(engine::prefill(&address, &prompt).await, Err(Error::Refused));
+    assert_eq!(engine::prefill("no address", &prompt).await, Err(Error::Connect));
+    assert!(plain::is_dead(&address).await);
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -28,6 +28,8 @@
 /// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
+    /// the address refuses connections, nothing was sent
+    Refused,
     /// no connection was made, nothing was sent: {0}
     Unsent(String),
     /// the connection failed after the request may have been sent: {0}
@@ -104,7 +106,10 @@
     let stream = timeout(connect, TcpStream::connect(address))
         .await
         .map_err(|_elapsed| Error::Unsent(format!("no connection within {connect:?}")))?
-        .map_err(unsent)?;
+        .map_err(|error| match error.kind() {
+            std::io::ErrorKind::ConnectionRefused => Error::Refused,
+            _ => unsent(error),
+        })?;
     stream.set_nodelay(true).map_err(unsent)?;
     socket2::SockRef::from(&stream)
         .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
