Hosts are told changes of the registered upstreams, not the whole list

Cause: each change of the list had every host pull all of it: 2.4 MB a change at 12,000 engines, which docs/CAPACITY.md named as not holding; a heartbeat of an upstream that changed nothing counted too. Change: the registry keeps its latest 1,024 changes; a host names the version that it has and gets what came after, or the whole list where that is not known. Emulated with two readers, a follower of either, and changes that take each other back (policy/tests/registry.rs, 200 seeds).

--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use damaskhatch_policy::config::Head;
-use damaskhatch_policy::registry::Entry;
+use damaskhatch_policy::registry::{Change, Registry};
 use damaskhatch_wire::prelude::Body;
 
 /// A configuration as peers may pull it.
@@ -16,10 +16,8 @@
     pub chunks: HashMap<String, String>,
     /// Digests of withdrawn keys.
     pub withdrawn: Vec<String>,
-    /// The version of the registered upstreams; 0 without any.
-    pub listing: u64,
-    /// The registered upstreams by key.
-    pub upstreams: Vec<(String, Entry)>,
+    /// The registered upstreams.
+    pub upstreams: Arc<Registry>,
 }
 
 /// The archive that the TCP server reads.
@@ -37,10 +35,20 @@
             let chunks = named.iter().filter_map(|digest| archive.chunks.get(digest).cloned());
             Some(Body::Chunks(chunks.collect()))
         }
-        Body::GetListing if archive.listing > 0 => {
-            let (version, entries) = (archive.listing, archive.upstreams.clone());
-            Some(Body::Listing { version, entries })
+        Body::GetListing { since } => {
+            let upstreams = Arc::clone(&archive.upstreams);
+            drop(archive);
+            let version = upstreams.version();
+            let partial = upstreams.since(since).filter(|_| since > 0);
+            let is_partial = partial.is_some();
+            let changes = partial.unwrap_or_else(|| whole(&upstreams));
+            (version > 0).then_some(Body::Listing { version, is_partial, changes })
         }
         _ => None,
     }
 }
+
+fn whole(upstreams: &Registry) -> Vec<(String, Change)> {
+    let listed = upstreams.keyed();
+    listed.map(|(key, entry)| (key.clone(), Change::Listed(entry.clone()))).collect()
+}
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -148,12 +148,15 @@
         self.is_pulling = true;
         let own = self.shared.settings.host.peer.ip();
         let (codec, metrics) = (SharedCodec::clone(&self.codec), self.shared.metrics.clone());
-        let asked = async move { ask(own, from, &codec, &metrics, Body::GetListing).await };
+        let since = self.shared.upstreams().version();
+        let question = Body::GetListing { since };
+        let asked = async move { ask(own, from, &codec, &metrics, question).await };
         ctx.spawn(asked.into_actor(self).map(move |answer, actor, _ctx| {
             actor.is_pulling = false;
             match answer {
-                Ok(Body::Listing { version, entries }) => {
-                    actor.listing.do_send(Offer { version, entries });
+                Ok(Body::Listing { version, is_partial, changes }) => {
+                    let since = is_partial.then_some(since);
+                    actor.listing.do_send(Offer { version, since, changes });
                 }
                 Ok(_other) => log::warn!("event=listing_not_pulled peer={from} reason=no_list"),
                 Err(error) => log::info!("event=listing_not_pulled peer={from} error={error}"),
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -48,8 +48,10 @@
 pub struct Offer {
     /// Its version.
     pub version: u64,
-    /// Its entries by key.
-    pub entries: Vec<(String, Entry)>,
+    /// The version after which `changes` are all changes; `None` if they are the whole list.
+    pub since: Option<u64>,
+    /// What is listed or has changed, by key and in order.
+    pub changes: Vec<(String, Change)>,
 }
 
 impl Listing {
@@ -112,7 +114,7 @@
             Err(Error::Missing) => {
                 log::info!("event=listing_reread reason=history_gone");
                 self.version = None;
-                Duration::ZERO
+                CHANGED_PAUSE
             }
             Err(error) => {
                 self.store.note(Some(&error));
@@ -135,48 +137,54 @@
             (key, change)
         });
         let changes: Vec<(String, Change)> = changes.collect();
+        self.version = Some(listing.version);
         if is_whole {
-            let listed = changes.into_iter().filter_map(|(key, change)| match change {
-                Change::Listed(entry) => Some((key, entry)),
-                Change::Gone => None,
-            });
-            let listed: HashMap<String, Entry> = listed.collect();
+            let listed = listed(changes);
             log::info!("event=upstreams_read count={} version={}", listed.len(), listing.version);
-            self.registry.replace(listed);
-        } else {
-            for (key, change) in &changes {
-                let state = match change {
-                    Change::Listed(entry) if entry.is_leaving => "leaving",
-                    Change::Listed(_) => "listed",
-                    Change::Gone => "gone",
-                };
-                let version = listing.version;
-                log::info!("event=upstream_changed key={key} state={state} version={version}");
-            }
-            self.registry.apply(changes);
+            self.registry.replace(listed, listing.version);
+            self.publish();
+            return;
+        }
+        for (key, change) in &changes {
+            let state = match change {
+                Change::Listed(entry) if entry.is_leaving => "leaving",
+                Change::Listed(_) => "listed",
+                Change::Gone => "gone",
+            };
+            let version = listing.version;
+            log::info!("event=upstream_changed key={key} state={state} version={version}");
+        }
+        if self.registry.apply(changes, listing.version) {
+            self.publish();
         }
-        self.version = Some(listing.version);
-        self.registry.set_version(listing.version);
-        self.publish();
     }
 
     fn publish(&self) {
+        let registry = Arc::new(self.registry.clone());
         let mut archive = self.archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        archive.listing = self.registry.version();
-        archive.upstreams = self.registry.keyed().map(|(k, e)| (k.clone(), e.clone())).collect();
+        archive.upstreams = Arc::clone(&registry);
         drop(archive);
-        self.publish.send_replace(Arc::new(self.registry.clone()));
+        self.publish.send_replace(registry);
     }
 
     /// Takes over a peer's list if it is newer than what this host read.
     fn follow(&mut self, offer: Offer) {
-        if offer.version <= self.registry.version() || self.version.is_some() {
+        let Offer { version, since, changes } = offer;
+        if version <= self.registry.version() || self.version.is_some() {
             return;
         }
-        let count = offer.entries.len();
-        log::info!("event=upstreams_followed count={count} version={}", offer.version);
-        self.registry.replace(offer.entries.into_iter().collect());
-        self.registry.set_version(offer.version);
+        let count = changes.len();
+        match since {
+            None => self.registry.replace(listed(changes), version),
+            Some(since) if since == self.registry.version() => {
+                self.registry.apply(changes, version);
+                self.registry.advance(version);
+            }
+            // The list has changed since this host asked; it asks again.
+            Some(_) => return,
+        }
+        let is_partial = since.is_some();
+        log::info!("event=upstreams_followed count={count} partial={is_partial} version={version}");
         self.publish();
     }
 
@@ -192,6 +200,15 @@
     }
 }
 
+/// The entries of a whole list by key.
+fn listed(changes: Vec<(String, Change)>) -> HashMap<String, Entry> {
+    let listed = changes.into_iter().filter_map(|(key, change)| match change {
+        Change::Listed(entry) => Some((key, entry)),
+        Change::Gone => None,
+    });
+    listed.collect()
+}
+
 impl Actor for Listing {
     type Context = Context<Self>;
 
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -164,7 +164,7 @@
                     follow.do_send(Incoming(arrival));
                 }
             }
-            Body::GetListing
+            Body::GetListing { .. }
             | Body::Listing { .. }
             | Body::GetHead
             | Body::Head { .. }
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -253,7 +253,7 @@
         | Body::Head { .. }
         | Body::GetChunks(_)
         | Body::Chunks(_)
-        | Body::GetListing
+        | Body::GetListing { .. }
         | Body::Listing { .. } => "config",
         Body::GetNews { .. } | Body::News { .. } => "news",
         Body::Vouch { .. }
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -4,7 +4,7 @@
 //! apart from it. An upstream that has said that it is leaving stays on the list
 //! while its work ends, and gets nothing new.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use crate::prelude::*;
@@ -34,52 +34,113 @@
 }
 }
 
-/// All registered upstreams.
+plain! { data
+    /// What became of an entry.
+    pub enum Change {
+        /// The upstream is listed, perhaps with other content than before.
+        Listed(Entry),
+        /// The entry with this key is gone or names no upstream.
+        Gone,
+    }
+}
+
+/// Changes that are kept for those that know an earlier version.
+const MAX_RECENT: usize = 1_024;
+
+#[derive(Debug, Clone, PartialEq)]
+struct Recent {
+    version: u64,
+    key: String,
+    change: Change,
+}
+
+/// All registered upstreams, as of a version of the store.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Registry {
     entries: HashMap<String, Entry>,
     services: HashMap<Tag, Vec<String>>,
     version: u64,
-}
-
-/// What became of an entry.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Change {
-    /// The upstream is listed, perhaps with other content than before.
-    Listed(Entry),
-    /// The entry with this key is gone or names no upstream.
-    Gone,
+    /// The latest changes in order.
+    recent: VecDeque<Recent>,
+    /// The version after which `recent` has every change.
+    complete_after: u64,
 }
 
 impl Registry {
-    /// The version of the store at which the content was last known to change; 0 before
-    /// the first reading.
+    /// The version of the store at which the content last changed; 0 before the first reading.
     pub const fn version(&self) -> u64 {
         self.version
     }
 
-    /// Notes the version of the store at which the content was read or changed.
-    pub const fn set_version(&mut self, version: u64) {
-        if version > self.version {
-            self.version = version;
+    /// Replaces everything by what was listed, by key, as of a version.
+    ///
+    /// What changed on the way there is not known, so nobody with an earlier version can
+    /// be told changes only.
+    pub fn replace(&mut self, entries: HashMap<String, Entry>, version: u64) {
+        if version <= self.version && self.entries == entries {
+            return;
         }
-    }
-
-    /// Replaces everything by what was listed, by key.
-    pub fn replace(&mut self, entries: HashMap<String, Entry>) {
         self.entries = entries;
+        self.version = self.version.max(version);
+        self.recent.clear();
+        self.complete_after = self.version;
         self.index();
     }
 
-    /// Applies changes in order.
-    pub fn apply(&mut self, changes: impl IntoIterator<Item = (String, Change)>) {
+    /// Applies changes in order, up to a version; returns whether they changed anything.
+    pub fn apply(
+        &mut self,
+        changes: impl IntoIterator<Item = (String, Change)>,
+        version: u64,
+    ) -> bool {
+        let mut has_changed = false;
         for (key, change) in changes {
-            match change {
-                Change::Listed(entry) => self.entries.insert(key, entry),
+            let has_effect = match &change {
+                Change::Listed(entry) => self.entries.get(&key) != Some(entry),
+                Change::Gone => self.entries.contains_key(&key),
+            };
+            if !has_effect {
+                continue;
+            }
+            has_changed = true;
+            match &change {
+                Change::Listed(entry) => self.entries.insert(key.clone(), entry.clone()),
                 Change::Gone => self.entries.remove(&key),
             };
+            self.recent.push_back(Recent { version, key, change });
+        }
+        if has_changed {
+            self.version = self.version.max(version);
+            self.forget();
+            self.index();
+        }
+        has_changed
+    }
+
+    /// Notes that the content is also that of a later version.
+    pub const fn advance(&mut self, version: u64) {
+        if version > self.version {
+            self.version = version;
+        }
+    }
+
+    /// The changes after a version in order, or `None` if only the whole list will do.
+    ///
+    /// A change is kept under the version at which it was read, which may be later than
+    /// that of the change itself; so some may be told twice, in order and without harm.
+    pub fn since(&self, version: u64) -> Option<Vec<(String, Change)>> {
+        if version < self.complete_after || version > self.version {
+            return None;
+        }
+        let later = self.recent.iter().filter(|recent| recent.version > version);
+        Some(later.map(|recent| (recent.key.clone(), recent.change.clone())).collect())
+    }
+
+    fn forget(&mut self) {
+        while self.recent.len() > MAX_RECENT {
+            let oldest = self.recent.pop_front().map_or(0, |recent| recent.version);
+            self.complete_after = self.complete_after.max(oldest);
         }
-        self.index();
     }
 
     /// The upstreams of a service that take new work.
--- /dev/null
+++ b/crates/policy/tests/registry.rs
@@ -0,0 +1,132 @@
+//! Hosts that are told changes only end up with the same upstreams as those that read them all.
+
+use std::collections::HashMap;
+
+use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::registry::{Change, Entry, Registry};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn entry(name: &str, port: u16) -> Entry {
+    Entry {
+        instance: name.to_owned(),
+        tag: Tag::of(name),
+        service: Tag::of("model"),
+        address: format!("127.0.0.1:{port}").parse().expect("an address"),
+        domain: Tag::of("a"),
+        slots: 12,
+        is_leaving: false,
+        role: None,
+        started_ms: 0,
+    }
+}
+
+fn content(registry: &Registry) -> HashMap<String, Entry> {
+    registry.keyed().map(|(key, entry)| (key.clone(), entry.clone())).collect()
+}
+
+/// The store's list and every change of it under its version.
+#[derive(Default)]
+struct Store {
+    entries: HashMap<String, Entry>,
+    changes: Vec<(u64, String, Change)>,
+}
+
+impl Store {
+    const fn version(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
+    fn change(&mut self, rng: &mut Pcg64Mcg) {
+        let key = format!("u{}", rng.random_range(0..8));
+        let version = self.version() + 1;
+        let change = if rng.random_bool(0.3) {
+            self.entries.remove(&key);
+            Change::Gone
+        } else {
+            // Few different contents, so that changes often take each other back.
+            let listed = entry(&key, rng.random_range(1..4));
+            self.entries.insert(key.clone(), listed.clone());
+            Change::Listed(listed)
+        };
+        self.changes.push((version, key, change));
+    }
+
+    /// What a reader at `version` gets: everything later in one piece.
+    fn read(&self, reader: &mut Registry, cursor: &mut u64) {
+        let later = self.changes.iter().filter(|(version, ..)| version > cursor);
+        reader.apply(later.map(|(_, key, change)| (key.clone(), change.clone())), self.version());
+        *cursor = self.version();
+    }
+}
+
+/// Asks a reader as hosts do, in part where it can.
+fn follow(follower: &mut Registry, reader: &Registry) -> Option<bool> {
+    if reader.version() <= follower.version() {
+        return None;
+    }
+    let changes = reader.since(follower.version()).filter(|_| follower.version() > 0);
+    let is_partial = changes.is_some();
+    if let Some(changes) = changes {
+        follower.apply(changes, reader.version());
+        follower.advance(reader.version());
+    } else {
+        follower.replace(content(reader), reader.version());
+    }
+    Some(is_partial)
+}
+
+#[test]
+fn followers_of_any_reader_have_its_content() {
+    for seed in 0..200 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut store = Store::default();
+        let mut readers = [(Registry::default(), 0), (Registry::default(), 0)];
+        let mut follower = Registry::default();
+        let (mut partial, mut whole) = (0, 0);
+        for _ in 0..300 {
+            match rng.random_range(0..10) {
+                0..4 => store.change(&mut rng),
+                4..7 => {
+                    let (reader, cursor) = &mut readers[rng.random_range(0..2)];
+                    store.read(reader, cursor);
+                }
+                7 if rng.random_bool(0.1) => {
+                    // The reader lost its place and lists everything.
+                    let (reader, cursor) = &mut readers[rng.random_range(0..2)];
+                    reader.replace(store.entries.clone(), store.version());
+                    *cursor = store.version();
+                }
+                _ => {
+                    let (reader, _) = &readers[rng.random_range(0..2)];
+                    match follow(&mut follower, reader) {
+                        Some(true) => partial += 1,
+                        Some(false) => whole += 1,
+                        None => continue,
+                    }
+                    assert_eq!(content(&follower), content(reader), "seed {seed}");
+                }
+            }
+        }
+        assert!(partial > whole, "seed {seed}: {partial} in part, {whole} whole");
+    }
+}
+
+#[test]
+fn only_the_latest_changes_are_kept() {
+    let mut registry = Registry::default();
+    registry.replace(HashMap::new(), 1);
+    for version in 2..3_000_u64 {
+        let change = Change::Listed(entry("u", version as u16));
+        registry.apply([("u".to_owned(), change)], version);
+    }
+    assert_eq!(registry.since(2_998).map(|changes| changes.len()), Some(1));
+    assert_eq!(registry.since(2_999).map(|changes| changes.len()), Some(0));
+    assert_eq!(registry.since(3_000), None, "nobody has what this host does not");
+    assert!(registry.since(2_500).is_some());
+    assert_eq!(registry.since(1_000), None, "too long ago");
+    let before = registry.version();
+    let same = Change::Listed(entry("u", 2_999));
+    assert!(!registry.apply([("u".to_owned(), same)], 4_000), "nothing changed");
+    assert_eq!(registry.version(), before);
+}
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -4,7 +4,7 @@
 use damaskhatch_policy::membership::{Count, Record};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::quota::{Charge, Loan, Purpose, Verdict};
-use damaskhatch_policy::registry::Entry;
+use damaskhatch_policy::registry::Change;
 use damaskhatch_policy::route::Pair;
 use damaskhatch_policy::schedule::ask::{Ask, Claim, Release};
 use damaskhatch_policy::strike::Strike;
@@ -152,14 +152,19 @@
             /// The version of its list of registered upstreams; 0 without one.
             listing: u64,
         },
-        /// Asks for the registered upstreams; TCP only.
-        GetListing,
-        /// The registered upstreams by key; TCP only.
+        /// Asks for changes of the registered upstreams; TCP only.
+        GetListing {
+            /// The version that the asking host has, 0 without any.
+            since: u64,
+        },
+        /// The registered upstreams, or what changed of them; TCP only.
         Listing {
             /// The version of the list.
             version: u64,
-            /// The entries.
-            entries: Vec<(String, Entry)>,
+            /// Whether these are the changes since the version that was asked for.
+            is_partial: bool,
+            /// What is listed or has changed, by key and in order.
+            changes: Vec<(String, Change)>,
         },
         /// Vouches for a holder that cannot reach the platform.
         Vouch {
