--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -5,7 +5,6 @@
 //! reaches the platform when that is back.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskhatch_policy::config::{Applied, Head, Snapshot, State};
@@ -16,11 +15,9 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::clock::boot;
 use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
-use crate::control::dependency::{self, Dependency};
-use crate::control::follow::ALONE_AFTER;
+use crate::control::dependency::Dependency;
 use crate::control::membership::{READER, READERS};
 use crate::peers::{Arrival, SharedCodec};
 use crate::prelude::*;
@@ -30,6 +27,7 @@
 pub mod archive;
 mod handlers;
 pub mod message;
+mod reading;
 
 pub use archive::{Archive, SharedArchive, answer};
 pub use message::{Accept, Confirmations, GetConfirmations, GetRows, Issue, Pull, Rows, Withdraw};
@@ -117,94 +115,6 @@
         self.shared.is_owner(READER, READERS)
     }
 
-    /// Watches the platform, one call at a time.
-    fn watch(&self, ctx: &mut Context<Self>) {
-        let is_alone = self.foreign().is_some()
-            && self.shared.config_age().is_none_or(|age| age > ALONE_AFTER);
-        if !self.is_reader() && !is_alone {
-            ctx.run_later(WATCH_PAUSE, |actor, ctx| actor.watch(ctx));
-            return;
-        }
-        let foreign = self.foreign();
-        let (longest, failed_pause) = if foreign.is_some() {
-            (FRESH_WATCH_TIME, FRESH_FAILED_PAUSE)
-        } else {
-            (WATCH_TIME, WATCH_PAUSE)
-        };
-        let source = Source::Platform {
-            client: self.client(),
-            foreign,
-            after: self.version,
-            // A plain read notices sooner than a watch that the store is back.
-            wait: if self.version == 0 || !self.store.is_reachable() {
-                Duration::ZERO
-            } else {
-                longest
-            },
-        };
-        let began = boot();
-        let known = self.known_chunks();
-        let revision = self.state.head().revision;
-        let pulled = async move { pull(source, revision, known).await };
-        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, ctx| {
-            let result = if pulled.is_ok() { "ok" } else { "failed" };
-            actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
-            let pause = match pulled {
-                Ok(pulled) => {
-                    actor.store.note(None::<&Error>);
-                    let idle = pulled.version == 0;
-                    actor.take(pulled, "platform");
-                    actor.freshness.send_modify(|freshness| freshness.confirm(began));
-                    if idle { WATCH_PAUSE } else { Duration::ZERO }
-                }
-                Err(error) => {
-                    actor.store.note(Some(&error));
-                    if error == Error::Missing {
-                        // The store no longer has the history that the watch asked for.
-                        actor.version = 0;
-                    }
-                    dependency::failed_pause(actor.is_reader(), failed_pause)
-                }
-            };
-            ctx.run_later(pause, |actor, ctx| actor.watch(ctx));
-        }));
-    }
-
-    fn known_chunks(&self) -> HashMap<String, String> {
-        let archive = self.archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        archive.chunks.clone()
-    }
-
-    /// Pulls from a peer that is ahead, one at a time.
-    fn pull_from_peer(&mut self, ctx: &mut Context<Self>) {
-        if let Some(peer) = self.shared.hosts().ahead(Instant::now()).first() {
-            self.pull_from(*peer, ctx);
-        }
-    }
-
-    fn pull_from(&mut self, peer: SocketAddr, ctx: &mut Context<Self>) {
-        if self.pulling {
-            return;
-        }
-        self.pulling = true;
-        let source = Source::Peer {
-            from: self.shared.settings.host.peer.ip(),
-            to: peer,
-            codec: Arc::clone(&self.codec),
-            metrics: self.shared.metrics.clone(),
-        };
-        let known = self.known_chunks();
-        let revision = self.state.head().revision;
-        let pulled = async move { pull(source, revision, known).await };
-        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, _ctx| {
-            actor.pulling = false;
-            match pulled {
-                Ok(pulled) => actor.take(pulled, "peer"),
-                Err(error) => log::debug!("event=pull_failed peer={peer} error={error}"),
-            }
-        }));
-    }
-
     /// Puts in force what was pulled, unless it is older than what is.
     fn take(&mut self, pulled: Pulled, source: &str) {
         let Pulled { head, version, rows, chunks, withdrawn } = pulled;
--- /dev/null
+++ b/crates/policy/examples/schedule/engines.rs
@@ -0,0 +1,189 @@
+//! The cost model of the engines.
+
+use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::route::Pair;
+use damaskhatch_policy::schedule::ask::{Claim, Phase, Release};
+
+use crate::{
+    FIRST_TOKEN, GAP, Job, KV_LIFE, LINK_RATE, Policy, Prompt, SLOTS, STEP, Stream, World, gap,
+    is_decode,
+};
+
+impl World {
+    /// Lets every engine work for one step.
+    pub(crate) fn work(&mut self) {
+        let tags: Vec<Tag> = self.engines.keys().copied().collect();
+        for tag in &tags {
+            if is_decode(*tag) {
+                self.generate(*tag);
+            } else {
+                self.prefill(*tag);
+            }
+        }
+        for tag in tags.into_iter().filter(|tag| !is_decode(*tag)) {
+            self.transfer(tag);
+        }
+    }
+
+    pub(crate) fn prefill(&mut self, tag: Tag) {
+        let mut budget = self.prefill_rate * STEP.as_secs_f64();
+        let now = self.now;
+        let engine = self.engines.get_mut(&tag).expect("the engine exists");
+        while budget > 0.0 {
+            let Some(prompt) = engine.prompts.front_mut() else { return };
+            let done = prompt.left.min(budget);
+            prompt.left -= done;
+            budget -= done;
+            if prompt.left <= 0.0 {
+                let prompt = engine.prompts.pop_front().expect("the front was just seen");
+                engine.waiting.push((prompt, Some(now + KV_LIFE)));
+            }
+        }
+    }
+
+    /// Moves run prompts to decode engines with a free slot; expired ones are wasted.
+    pub(crate) fn transfer(&mut self, tag: Tag) {
+        let waiting = std::mem::take(&mut self.engines.get_mut(&tag).expect("it exists").waiting);
+        let mut left = Vec::new();
+        for (prompt, end) in waiting {
+            let decode = match prompt.pair.decode {
+                Tag(0) => self.free_decode(),
+                chosen => Some(chosen).filter(|tag| self.has_slot(*tag)),
+            };
+            if let Some(decode) = decode {
+                self.start_stream(prompt, decode);
+            } else if end.is_some_and(|end| end > self.now) {
+                left.push((prompt, end));
+            } else {
+                self.waste(prompt);
+            }
+        }
+        self.engines.get_mut(&tag).expect("it exists").waiting = left;
+    }
+
+    pub(crate) fn has_slot(&self, tag: Tag) -> bool {
+        let engine = &self.engines[&tag];
+        !engine.is_dead && (engine.streams.len() as u32) < SLOTS
+    }
+
+    pub(crate) fn free_decode(&self) -> Option<Tag> {
+        let free = self.engines.iter().filter(|(tag, _)| is_decode(**tag) && self.has_slot(**tag));
+        free.min_by_key(|(_, engine)| engine.streams.len()).map(|(tag, _)| *tag)
+    }
+
+    pub(crate) fn start_stream(&mut self, prompt: Prompt, decode: Tag) {
+        let job = prompt.job;
+        let transfer = Duration::from_secs_f64(f64::from(job.prompt) / LINK_RATE);
+        let pair = Pair { decode, ..prompt.pair };
+        let ready = self.now + transfer;
+        let stream = Stream { job, pair, tokens: 0.0, first: None, ready };
+        self.engines.get_mut(&decode).expect("it exists").streams.push(stream);
+        self.renew(job.request, Phase::Decode, pair, 0);
+    }
+
+    pub(crate) fn waste(&mut self, prompt: Prompt) {
+        self.score.wasted_tokens += f64::from(prompt.job.prompt);
+        match self.policy {
+            Policy::PrefillFirst => self.fifo.push_back(prompt.job),
+            Policy::Alone => self.refuse(prompt.job.request),
+            Policy::Scheduler(_) => self.again(prompt.job),
+        }
+    }
+
+    /// Asks once more under a new id, as entry hosts do after a failed attempt.
+    pub(crate) fn again(&mut self, mut job: Job) {
+        self.scheduler.release(Release { request: job.request, failed: None }, self.now);
+        self.jobs.remove(&job.request);
+        self.serial += 1;
+        job.request.serial = self.serial;
+        self.jobs.insert(job.request, job);
+        self.enqueue(job);
+    }
+
+    pub(crate) fn generate(&mut self, tag: Tag) {
+        let now = self.now;
+        let engine = self.engines.get_mut(&tag).expect("it exists");
+        let batch = engine.streams.len();
+        let mut ended = Vec::new();
+        for stream in engine.streams.iter_mut().filter(|stream| stream.ready <= now) {
+            stream.tokens += STEP.as_secs_f64() / gap(batch, self.gap_per_request);
+            if stream.tokens >= 1.0 && stream.first.is_none() {
+                stream.first = Some(now);
+            }
+            if stream.tokens >= f64::from(stream.job.output) {
+                ended.push(*stream);
+            }
+        }
+        engine.streams.retain(|stream| stream.tokens < f64::from(stream.job.output));
+        for stream in ended {
+            self.end(&stream);
+        }
+    }
+
+    pub(crate) fn end(&mut self, stream: &Stream) {
+        let job = stream.job;
+        self.jobs.remove(&job.request);
+        self.scheduler.release(Release { request: job.request, failed: None }, self.now);
+        let Some(first) = stream.first.filter(|_| job.measured) else { return };
+        let first_token = (first - job.arrived).as_secs_f64();
+        let mean_gap = (self.now - first).as_secs_f64() / f64::from(job.output.max(2) - 1);
+        self.score.first_tokens.push(first_token);
+        if first_token <= FIRST_TOKEN && mean_gap <= GAP {
+            self.score.teams[job.team].good += 1;
+        } else {
+            self.score.late += 1;
+        }
+    }
+
+    pub(crate) fn renew(&mut self, request: Request, phase: Phase, pair: Pair, gap_micros: u32) {
+        let claim = Claim { request, phase, pair: Some(pair), pieces: 1, gap_micros };
+        if matches!(self.policy, Policy::Scheduler(_)) {
+            self.scheduler.renew(&[claim], self.now);
+        }
+    }
+
+    pub(crate) fn claim(&mut self) {
+        let mut claims = Vec::new();
+        for engine in self.engines.values() {
+            let micros = (gap(engine.streams.len(), self.gap_per_request) * 1e6) as u32;
+            let streams = engine.streams.iter();
+            claims.extend(streams.map(|s| (s.job.request, Phase::Decode, s.pair, micros)));
+            let waiting = engine.waiting.iter().map(|(prompt, _)| prompt);
+            let prompts = engine.prompts.iter().chain(waiting);
+            claims.extend(prompts.map(|p| (p.job.request, Phase::Prefill, p.pair, 0)));
+        }
+        let held: Vec<Request> = claims.iter().map(|claim| claim.0).collect();
+        for (request, phase, pair, micros) in claims {
+            self.renew(request, phase, pair, micros);
+        }
+        if !matches!(self.policy, Policy::Scheduler(_)) {
+            return;
+        }
+        let waiting = self.jobs.keys().filter(|request| !held.contains(request));
+        let waiting: Vec<Claim> = waiting
+            .map(|request| Claim {
+                request: *request,
+                phase: Phase::Waiting,
+                pair: None,
+                pieces: 0,
+                gap_micros: 0,
+            })
+            .collect();
+        self.scheduler.renew(&waiting, self.now);
+    }
+
+    pub(crate) fn kill(&mut self, tag: Tag) {
+        let engine = self.engines.get_mut(&tag).expect("it exists");
+        engine.is_dead = true;
+        let streams = std::mem::take(&mut engine.streams);
+        self.scheduler.miss_report(tag);
+        for stream in streams {
+            self.score.wasted_tokens += f64::from(stream.job.prompt);
+            match self.policy {
+                Policy::Scheduler(_) => self.again(stream.job),
+                Policy::Alone => self.choose_alone(stream.job),
+                Policy::PrefillFirst => self.fifo.push_back(stream.job),
+            }
+        }
+    }
+}
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -1,7 +1,6 @@
 //! Starts a whole fleet of processes on loopback: platform, engines, services, hosts.
 
 use std::collections::{HashMap, HashSet};
-use std::fmt::Write as _;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -14,10 +13,13 @@
 
 mod block;
 mod http;
+mod plan;
 mod process;
+mod sheet;
 
 use block::{Block, PLATFORM_NUMBER, PROXY_NUMBER, UPSTREAM_NUMBER};
 pub use http::{get, post, post_bytes};
+pub use plan::Plan;
 pub use process::Process;
 use process::{launch, spawn};
 
@@ -30,58 +32,6 @@
 /// The secret of the hosts of a test fleet.
 const SECRET: &str = "a-secret-for-tests-only";
 
-/// What a fleet consists of.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// The program that runs every role.
-    pub program: PathBuf,
-    /// Domains.
-    pub domains: Vec<String>,
-    /// Hosts in each domain.
-    pub hosts_per_domain: usize,
-    /// Prefill engines in each domain.
-    pub prefills_per_domain: usize,
-    /// Decode engines in each domain.
-    pub decodes_per_domain: usize,
-    /// Plain back ends in each domain.
-    pub services_per_domain: usize,
-    /// Teams with rate and burst.
-    pub teams: Vec<(String, f64, f64)>,
-    /// More arguments for engines.
-    pub engine_args: Vec<String>,
-    /// More settings of hosts, as INI lines under `[limits]`.
-    pub limits: String,
-    /// Whether the plain service's calls may be repeated.
-    pub repeatable: bool,
-    /// The level of the hosts' logs.
-    pub log: String,
-    /// Whether a fault proxy stands before every process.
-    pub proxied: bool,
-}
-
-impl Plan {
-    /// Six hosts in three domains, one pair of engines in each, one plain service.
-    pub fn small(program: PathBuf) -> Self {
-        Self {
-            program,
-            domains: ["bern-a", "olten-b", "solothurn-c"].map(str::to_owned).to_vec(),
-            hosts_per_domain: 2,
-            prefills_per_domain: 1,
-            decodes_per_domain: 1,
-            services_per_domain: 1,
-            teams: vec![
-                ("release".to_owned(), 2_000_000.0, 4_000_000.0),
-                ("audit".to_owned(), 1_000_000.0, 2_000_000.0),
-            ],
-            engine_args: Vec::new(),
-            limits: String::new(),
-            repeatable: false,
-            proxied: false,
-            log: std::env::var("RUST_LOG").unwrap_or_else(|_unset| "warn".to_owned()),
-        }
-    }
-}
-
 /// A host of a fleet.
 #[derive(Debug)]
 pub struct Host {
@@ -269,45 +219,6 @@
         Ok(())
     }
 
-    /// The sheet that describes this fleet.
-    pub fn describe(&self) -> String {
-        let mut sheet = String::from(
-            "record;name;share;rate;burst;service;domain;kind;open;repeatable;address;fenced\n",
-        );
-        let mut line = |text: String| {
-            let _infallible = writeln!(sheet, "{text}");
-        };
-        let domains = &self.plan.domains;
-        for (index, domain) in domains.iter().enumerate() {
-            // The last share takes what rounding leaves over.
-            let part = (1_000_000 / domains.len()) as f64 / 1_000_000.0;
-            let last = 1.0 - part * (domains.len() - 1) as f64;
-            let share = if index + 1 == domains.len() { last } else { part };
-            line(format!("domain;{domain};{share:.6};;;;;;;;;"));
-        }
-        for (team, rate, burst) in &self.plan.teams {
-            line(format!("team;{team};;{rate};{burst};;;;;;;"));
-        }
-        let repeatable = if self.plan.repeatable { "yes" } else { "no" };
-        line(format!("service;{MODEL};;;;;;model;no;yes;;"));
-        line(format!("service;{SERVICE};;;;;;plain;no;{repeatable};;"));
-        for (team, ..) in &self.plan.teams {
-            line(format!("grant;{team};;;;{MODEL};;;;;;"));
-            line(format!("grant;{team};;;;{SERVICE};;;;;;"));
-        }
-        for engine in &self.engines {
-            let (domain, role) = place(&self.plan, &engine.name);
-            let address = engine.listed;
-            line(format!("upstream;{};;;;{MODEL};{domain};{role};;;{address};no", engine.name));
-        }
-        for service in &self.services {
-            let (domain, _app) = place(&self.plan, &service.name);
-            let address = service.listed;
-            line(format!("upstream;{};;;;{SERVICE};{domain};plain;;;{address};no", service.name));
-        }
-        sheet
-    }
-
     /// Accepts the sheet, issues keys and waits until every host has everything.
     async fn configure(&mut self) -> io::Result<()> {
         self.sheet = self.describe();
@@ -403,14 +314,6 @@
     status["revision"].as_u64() >= Some(revision) && alive.count() == hosts && slots == all_slots
 }
 
-/// The domain and role that a name was made from.
-fn place<'a>(plan: &'a Plan, name: &'a str) -> (&'a str, &'a str) {
-    let domain = plan.domains.iter().find(|domain| name.starts_with(domain.as_str()));
-    let domain = domain.map_or("", String::as_str);
-    let role = if name.contains("-prefill-") { "prefill" } else { "decode" };
-    (domain, role)
-}
-
 /// Where a host stands.
 struct Place {
     name: String,
--- /dev/null
+++ b/crates/standins/src/fleet/sheet.rs
@@ -0,0 +1,54 @@
+//! The sheet that describes a fleet.
+
+use std::fmt::Write as _;
+
+use super::{Fleet, MODEL, Plan, SERVICE};
+
+impl Fleet {
+    /// The sheet that describes this fleet.
+    pub fn describe(&self) -> String {
+        let mut sheet = String::from(
+            "record;name;share;rate;burst;service;domain;kind;open;repeatable;address;fenced\n",
+        );
+        let mut line = |text: String| {
+            let _infallible = writeln!(sheet, "{text}");
+        };
+        let domains = &self.plan.domains;
+        for (index, domain) in domains.iter().enumerate() {
+            // The last share takes what rounding leaves over.
+            let part = (1_000_000 / domains.len()) as f64 / 1_000_000.0;
+            let last = 1.0 - part * (domains.len() - 1) as f64;
+            let share = if index + 1 == domains.len() { last } else { part };
+            line(format!("domain;{domain};{share:.6};;;;;;;;;"));
+        }
+        for (team, rate, burst) in &self.plan.teams {
+            line(format!("team;{team};;{rate};{burst};;;;;;;"));
+        }
+        let repeatable = if self.plan.repeatable { "yes" } else { "no" };
+        line(format!("service;{MODEL};;;;;;model;no;yes;;"));
+        line(format!("service;{SERVICE};;;;;;plain;no;{repeatable};;"));
+        for (team, ..) in &self.plan.teams {
+            line(format!("grant;{team};;;;{MODEL};;;;;;"));
+            line(format!("grant;{team};;;;{SERVICE};;;;;;"));
+        }
+        for engine in &self.engines {
+            let (domain, role) = place(&self.plan, &engine.name);
+            let address = engine.listed;
+            line(format!("upstream;{};;;;{MODEL};{domain};{role};;;{address};no", engine.name));
+        }
+        for service in &self.services {
+            let (domain, _app) = place(&self.plan, &service.name);
+            let address = service.listed;
+            line(format!("upstream;{};;;;{SERVICE};{domain};plain;;;{address};no", service.name));
+        }
+        sheet
+    }
+}
+
+/// The domain and role that a name was made from.
+fn place<'a>(plan: &'a Plan, name: &'a str) -> (&'a str, &'a str) {
+    let domain = plan.domains.iter().find(|domain| name.starts_with(domain.as_str()));
+    let domain = domain.map_or("", String::as_str);
+    let role = if name.contains("-prefill-") { "prefill" } else { "decode" };
+    (domain, role)
+}
