--- a/crates/policy/examples/schedule/main.rs
+++ b/crates/policy/examples/schedule/main.rs
@@ -9,12 +9,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::route::{self, Candidate, Pair};
-use damaskhatch_policy::schedule::ask::{Ask, BLOCK_TOKENS, Claim, Decision, Phase, Release};
-use damaskhatch_policy::schedule::engine::Load;
+use damaskhatch_policy::route::{Candidate, Pair};
 use damaskhatch_policy::schedule::{Rules, Scheduler};
-use damaskhatch_policy::sheet::Role;
-use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 const STEP: Duration = Duration::from_millis(5);
