--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -3,10 +3,12 @@
 
 use actix_web::HttpResponse;
 use damaskhatch_exchange::Answer;
+use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::prelude::*;
 
 use super::answer::begin;
-use super::pair::{Progress, start};
+use super::attempt::{Failure, note_failure};
+use super::pair::{Progress, may_go_on, start};
 use super::request::Routed;
 use super::stream::{Parts, stream};
 use crate::entry::Entry;
@@ -16,15 +18,29 @@
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 
 /// Runs a request on a pair of engines and returns the beginning of its stream.
+///
+/// Where the request may run again, another engine is tried after one that failed it.
 pub async fn run(entry: &Entry, mut routed: Routed) -> Result<HttpResponse, Refusal> {
     entry.earn(routed.service);
     let mut progress = Progress::named_by_caller(entry, &routed);
-    let running = start(entry, &mut routed, &mut progress).await?;
-    if !running.answer.head.status.is_success() {
-        return fail(entry, &routed, running.answer).await;
+    loop {
+        let running = start(entry, &mut routed, &mut progress).await?;
+        let status = running.answer.head.status;
+        if status.is_success() {
+            let mut response = begin(&running.answer.head);
+            let parts = Parts { entry: entry.clone(), routed, progress, running };
+            return Ok(response.streaming(stream(parts)));
+        }
+        let is_worth_it = status.is_server_error() && may_go_on(entry, &routed, progress.history);
+        if !is_worth_it {
+            return fail(entry, &routed, running.answer).await;
+        }
+        let reason = format!("the engine failed it with status {status}");
+        let failure = Failure { outcome: Outcome::Ran, reason, is_upstream_bad: false };
+        let upstream = &running.reservation.upstream;
+        note_failure(entry, &routed, upstream, &failure, "decode");
+        progress.avoid.insert(upstream.tag);
     }
-    let mut response = begin(&running.answer.head);
-    Ok(response.streaming(stream(Parts { entry: entry.clone(), routed, progress, running })))
 }
 
 /// Passes on an engine's failure as a whole.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -73,15 +73,8 @@
     ranked.into_iter().map(|(_, entry)| entry).collect()
 }
 
-/// The better of two upstreams drawn at random first, then the others by load.
-fn better_of_two<'a>(
-    candidates: impl Iterator<Item = &'a Entry>,
-    known: &Known,
-    domain: Tag,
-    rng: &mut impl rand::Rng,
-    weigh: impl Fn(&Load, &Entry) -> u64,
-) -> Vec<&'a Entry> {
-    let mut ranked = by_load(candidates, known, domain, rng, weigh);
+/// Puts the better of two upstreams drawn at random before the others.
+fn better_of_two<'a>(mut ranked: Vec<&'a Entry>, rng: &mut impl rand::Rng) -> Vec<&'a Entry> {
     if ranked.len() > 2 {
         let one = rng.random_range(0..ranked.len());
         let other = rng.random_range(0..ranked.len() - 1);
@@ -124,7 +117,8 @@
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
-    better_of_two(candidates, known, domain, rng, |load, _| u64::from(load.prefill_tokens))
+    let ranked = by_load(candidates, known, domain, rng, |load, _| u64::from(load.prefill_tokens));
+    better_of_two(ranked, rng)
 }
 
 /// Plain upstreams, of two the one with the least requests for its slots first.
@@ -134,7 +128,8 @@
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
-    better_of_two(candidates, known, domain, rng, |load, entry| {
+    let ranked = by_load(candidates, known, domain, rng, |load, entry| {
         u64::from(load.requests) * 1_000 / u64::from(entry.slots.max(1))
-    })
+    });
+    better_of_two(ranked, rng)
 }
