--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::clock::steady;
 use crate::prelude::*;
 use crate::settings::Settings;
 use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
@@ -17,6 +18,10 @@
 
 /// The time between two readings of the platform's list of hosts.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// The same once a host has settled, where upstreams do not say on that list that they leave.
+const SETTLED_LIST_INTERVAL: Duration = Duration::from_secs(5);
+/// How long a started host reads the list often; heartbeats have spread by then.
+const SETTLING_TIME: Duration = Duration::from_secs(15);
 /// The pause after this host's own entry could not be written.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// Hosts of a domain that read the list; the others learn from heartbeats.
@@ -53,6 +58,8 @@
     rng: Pcg64Mcg,
     listed_leaving: Vec<Tag>,
     said_leaving: Vec<Tag>,
+    /// When the list was read last.
+    list_read: Option<Instant>,
 }
 
 impl Membership {
@@ -61,7 +68,8 @@
         let rng = Pcg64Mcg::seed_from_u64(shared.host.0 ^ shared.incarnation);
         let view = first_view(&shared.settings, shared.incarnation);
         let (listed_leaving, said_leaving) = (Vec::new(), Vec::new());
-        Self { shared, view, publish, rng, listed_leaving, said_leaving }
+        let list_read = None;
+        Self { shared, view, publish, rng, listed_leaving, said_leaving, list_read }
     }
 
     fn beat(&mut self) {
@@ -107,10 +115,11 @@
         }));
     }
 
-    fn read_list(&self, ctx: &mut Context<Self>) {
-        if !self.shared.is_owner(READER, READERS) {
+    fn read_list(&mut self, ctx: &mut Context<Self>) {
+        if !self.shared.is_owner(READER, READERS) || !self.is_list_due() {
             return;
         }
+        self.list_read = Some(steady());
         let client = self.shared.store();
         let read = async move { client.hosts().await };
         ctx.spawn(read.into_actor(self).map(|listed, actor, _ctx| {
@@ -123,6 +132,13 @@
         }));
     }
 
+    fn is_list_due(&self) -> bool {
+        let has_settled = self.shared.deployment.catalogue.is_some()
+            && steady().saturating_duration_since(self.shared.started) > SETTLING_TIME;
+        let age = self.list_read.map(|at| steady().saturating_duration_since(at));
+        !has_settled || age.is_none_or(|age| age > SETTLED_LIST_INTERVAL)
+    }
+
     fn correct(&mut self, listed: &[message::Host]) {
         let snapshot = self.shared.snapshot();
         let is_upstream = |tag: Tag| snapshot.upstream(tag).is_some();
@@ -169,7 +185,7 @@
             guard(actor, ctx, |actor, _| actor.beat());
         });
         ctx.run_interval(LIST_INTERVAL, |actor, ctx| {
-            guard(actor, ctx, |actor, ctx| actor.read_list(ctx));
+            guard(actor, ctx, Self::read_list);
         });
     }
 }
