One copy of the check before a further attempt and of who reads the store

Plain calls checked time, attempts and budget by themselves; who reads was asked in four places; a branch of the list's reader had no effect since changes without effect are not published. Behaviour is the same.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -18,7 +18,6 @@
 use crate::config_pull::{Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
 use crate::control::dependency::Dependency;
-use crate::control::membership::{READER, READERS};
 use crate::peers::{Arrival, SharedCodec};
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -111,10 +110,6 @@
         Some(Foreign { catalogue, domains: self.shared.settings.host.domains.clone() })
     }
 
-    fn is_reader(&self) -> bool {
-        self.shared.is_owner(READER, READERS)
-    }
-
     /// Puts in force what was pulled, unless it is older than what is.
     fn take(&mut self, pulled: Pulled, source: &str) {
         let Pulled { head, version, rows, chunks, withdrawn } = pulled;
@@ -206,7 +201,7 @@
 
     /// Writes withdrawals that the platform does not have yet.
     fn save_withdrawals(&mut self, ctx: &mut Context<Self>) {
-        if self.saving || !self.state.has_unsaved_withdrawal() || !self.is_reader() {
+        if self.saving || !self.state.has_unsaved_withdrawal() || !self.shared.is_reader() {
             return;
         }
         self.saving = true;
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -6,7 +6,7 @@
 
 use damaskhatch_store::error::Error;
 
-use super::{Configuration, FRESH_FAILED_PAUSE, FRESH_WATCH_TIME, WATCH_PAUSE, WATCH_TIME};
+use super::{Configuration, FRESH_FAILED_PAUSE, FRESH_WATCH_TIME, WATCH_PAUSE, WATCH_TIME, lock};
 use crate::clock::boot;
 use crate::config_pull::{Source, pull};
 use crate::control::dependency;
@@ -18,7 +18,7 @@
     pub(super) fn watch(&self, ctx: &mut Context<Self>) {
         let is_alone = self.foreign().is_some()
             && self.shared.config_age().is_none_or(|age| age > ALONE_AFTER);
-        if !self.is_reader() && !is_alone {
+        if !self.shared.is_reader() && !is_alone {
             ctx.run_later(WATCH_PAUSE, |actor, ctx| actor.watch(ctx));
             return;
         }
@@ -60,7 +60,7 @@
                         // The store no longer has the history that the watch asked for.
                         actor.version = 0;
                     }
-                    dependency::failed_pause(actor.is_reader(), failed_pause)
+                    dependency::failed_pause(actor.shared.is_reader(), failed_pause)
                 }
             };
             ctx.run_later(pause, |actor, ctx| actor.watch(ctx));
@@ -68,8 +68,7 @@
     }
 
     pub(super) fn known_chunks(&self) -> HashMap<String, String> {
-        let archive = self.archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        archive.chunks.clone()
+        lock(&self.archive).chunks.clone()
     }
 
     /// Pulls from a peer that is ahead, one at a time.
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -76,7 +76,7 @@
     }
 
     fn tick(&mut self) {
-        let is_reader = self.shared.is_owner(READER, READERS);
+        let is_reader = self.shared.is_reader();
         let needed_after = if is_reader { READER_ASKS_AFTER } else { Duration::ZERO };
         if self.shared.config_age().is_some_and(|age| age < needed_after) {
             return;
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -11,7 +11,6 @@
 use crate::control::configuration::SharedArchive;
 use crate::control::dependency::{Dependency, failed_pause};
 use crate::control::follow::ALONE_AFTER;
-use crate::control::membership::{READER, READERS};
 use crate::deployment::Catalogue;
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -73,15 +72,11 @@
         }
     }
 
-    fn is_reader(&self) -> bool {
-        self.shared.is_owner(READER, READERS)
-    }
-
     /// Reads everything, then only what changes.
     fn read(&mut self, ctx: &mut Context<Self>) {
         let is_alone =
             self.registry.is_empty() || self.shared.config_age().is_none_or(|a| a > ALONE_AFTER);
-        if !self.is_reader() && !is_alone {
+        if !self.shared.is_reader() && !is_alone {
             self.version = None;
             ctx.run_later(IDLE_PAUSE, Self::read);
             return;
@@ -120,17 +115,13 @@
                 self.store.note(Some(&error));
                 // A watch that failed may have lost changes with its connection.
                 self.version = None;
-                failed_pause(self.is_reader(), FAILED_PAUSE)
+                failed_pause(self.shared.is_reader(), FAILED_PAUSE)
             }
         }
     }
 
     fn apply(&mut self, listing: message::Listing) {
         let is_whole = self.version.is_none();
-        if !is_whole && listing.items.is_empty() {
-            self.version = Some(listing.version);
-            return;
-        }
         let items = listing.items.into_iter();
         let changes = items.map(|(key, item)| {
             let change = self.decode(&key, item.as_ref());
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -116,7 +116,7 @@
     }
 
     fn read_list(&mut self, ctx: &mut Context<Self>) {
-        if !self.shared.is_owner(READER, READERS) || !self.is_list_due() {
+        if !self.shared.is_reader() || !self.is_list_due() {
             return;
         }
         self.list_read = Some(steady());
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use damaskhatch_exchange::{self as exchange, Answer};
-use damaskhatch_policy::attempt::Outcome;
+use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
@@ -103,6 +103,13 @@
     Ok(())
 }
 
+/// Whether a request may be sent to one more upstream; takes it from the retry budget.
+pub fn may_go_on(entry: &Entry, routed: &Routed, history: History) -> bool {
+    Instant::now() < routed.limit
+        && history.may_repeat(routed.route.repeat, routed.route.max_attempts)
+        && entry.spend(routed.service)
+}
+
 /// Logs and counts a failed attempt, and leaves its upstream out if that is in doubt.
 pub fn note_failure(
     entry: &Entry,
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -12,7 +12,7 @@
 use damaskhatch_policy::registry;
 
 use super::answer::begin;
-use super::attempt::{Failure, note_failure, send};
+use super::attempt::{Failure, may_go_on, note_failure, send};
 use super::request::Routed;
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
@@ -52,9 +52,7 @@
             Ok(answer) => failed = Some(answer),
             Err(failure) => note_failure(entry, &routed, &upstream, &failure, "plain"),
         }
-        let in_time = Instant::now() < routed.limit;
-        let allowed = history.may_repeat(routed.route.repeat, routed.route.max_attempts);
-        if !in_time || !allowed || !entry.spend(routed.service) {
+        if !may_go_on(entry, &routed, history) {
             break;
         }
     }
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -7,8 +7,8 @@
 use damaskhatch_policy::prelude::*;
 
 use super::answer::begin;
-use super::attempt::{Failure, note_failure};
-use super::pair::{Progress, may_go_on, start};
+use super::attempt::{Failure, may_go_on, note_failure};
+use super::pair::{Progress, start};
 use super::request::Routed;
 use super::stream::{Parts, stream};
 use crate::entry::Entry;
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -18,7 +18,7 @@
 use damaskhatch_policy::registry;
 use damaskhatch_policy::sheet::{EngineTerms, Role};
 
-use super::attempt::{Failure, note_failure, send};
+use super::attempt::{Failure, may_go_on, note_failure, send};
 use super::held::{Export, Reservation};
 use super::request::{Routed, Tokens};
 use crate::entry::Entry;
@@ -122,13 +122,6 @@
     }
 }
 
-/// Whether a request may be sent to one more engine; takes it from the retry budget.
-pub fn may_go_on(entry: &Entry, routed: &Routed, history: History) -> bool {
-    Instant::now() < routed.limit
-        && history.may_repeat(routed.route.repeat, routed.route.max_attempts)
-        && entry.spend(routed.service)
-}
-
 /// Reserves at the decode engine with the most room, or refuses.
 async fn reserve(
     entry: &Entry,
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -13,9 +13,9 @@
 use futures_util::stream::{Stream, unfold};
 use tokio::time::timeout_at;
 
-use super::attempt::{Failure, note_failure};
+use super::attempt::{Failure, may_go_on, note_failure};
 use super::events::Splitter;
-use super::pair::{Progress, Running, may_go_on, start};
+use super::pair::{Progress, Running, start};
 use super::request::Routed;
 use crate::entry::Entry;
 
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -12,6 +12,7 @@
 use damaskhatch_store::prelude::Client;
 use tokio::sync::watch;
 
+use crate::control::membership::{READER, READERS};
 use crate::decision::Journal;
 use crate::deployment::Deployment;
 use crate::metrics::Metrics;
@@ -78,6 +79,11 @@
         rendezvous::owners(Tag::of(role), eligible, count).contains(&self.host)
     }
 
+    /// Whether this host reads the store for its domain.
+    pub fn is_reader(&self) -> bool {
+        self.is_owner(READER, READERS)
+    }
+
     /// How long ago the configuration was known to be the newest.
     pub fn config_age(&self) -> Option<Duration> {
         self.freshness.borrow().age(crate::clock::boot())
