A broken stream whose events have no ids does not start again

Cause: without an id the next engine was not told where to go on and began anew, so that the caller got events twice (platform/tests/streams.rs, which failed before).

--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -110,7 +110,9 @@
             progress.last_event = Some(last);
             progress.tokens_done = last as u32 * running.event_tokens;
         }
-        let is_resumable = routed.route.repeat == Repeat::ResumableStream;
+        // Without an id nobody could say after which of the events to go on.
+        let has_place = self.is_first || last.is_some();
+        let is_resumable = has_place && routed.route.repeat == Repeat::ResumableStream;
         if !is_resumable || !may_go_on(entry, routed, progress.history) {
             self.end("upstream_broke_off");
             return Err(io::Error::other(error));
