Log a request's fingerprint with each failed attempt on a route

A log could not tell whether several failed attempts belong to repeats of one request, since each repeat has its own id: 'attempt_failed' on routes named neither the fingerprint nor anything else that repeats share. It now carries the fingerprint of team, method, host, target and body. The parts of a fingerprint are digested with their lengths, so that moving bytes from the target to the body gives another one. No decision uses it on routes yet.

--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -116,7 +116,7 @@
         service_name: item.name.clone(),
         repeatable: item.repeatable,
         max_tokens: completion.max_tokens.unwrap_or(default_tokens),
-        fingerprint: strike::fingerprint(caller.tag, &bytes),
+        fingerprint: strike::fingerprint(caller.tag, &[&bytes]),
         caller,
         completion,
         prepared_at: Instant::now(),
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -112,13 +112,11 @@
     let caller = authorize(request, &snapshot, service)?;
     let body = read_body(entry, body).await?;
     let target = upstream_target(request);
-    let mut content = target.clone().into_bytes();
-    content.extend_from_slice(&body);
     Ok(Work {
         request: id,
         service,
         repeatable: snapshot.services[service].repeatable || is_safe_method(request.method()),
-        fingerprint: strike::fingerprint(caller.tag, &content),
+        fingerprint: strike::fingerprint(caller.tag, &[target.as_bytes(), &body]),
         call: plain::Call {
             method: request.method().clone(),
             target,
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -131,8 +131,9 @@
     entry.shared.journal.record(
         &routed.label,
         format_args!(
-            "event=attempt_failed phase={phase} upstream={} outcome={outcome:?} reason={reason:?}",
-            upstream.instance
+            "event=attempt_failed phase={phase} upstream={} outcome={outcome:?} \
+             fingerprint={} reason={reason:?}",
+            upstream.instance, routed.fingerprint
         ),
     );
 }
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -8,6 +8,7 @@
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::routing::Route;
+use damaskhatch_policy::strike;
 
 use crate::entry::access::{Caller, digest, identify};
 use crate::entry::charge::charge;
@@ -49,6 +50,8 @@
     pub headers: HeaderMap,
     /// The complete request body, kept so that it can be sent again.
     pub body: Bytes,
+    /// Identifies the request among repeats by its caller; see [`fingerprint`].
+    pub fingerprint: Tag,
     /// The declared token counts; `None` if the header is missing or malformed.
     pub tokens: Option<Tokens>,
     /// When this host received the request's head.
@@ -116,6 +119,8 @@
     let deadline = arrived_at + requested.unwrap_or(route.time_limit);
     let route = route.clone();
     let body = read_body(entry, payload).await?;
+    let team = caller.as_ref().map_or(Tag(0), |caller| caller.tag);
+    let fingerprint = fingerprint(team, request, &body);
     let id = entry.shared.next_request();
     let charged = match &caller {
         Some(caller) => {
@@ -144,6 +149,7 @@
         target: request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned(),
         headers,
         body,
+        fingerprint,
         tokens,
         arrived_at,
         limit: (arrived_at + route.time_limit).min(deadline),
@@ -153,6 +159,17 @@
     })
 }
 
+/// Digests what a repeat of the request has in common with it: team, method, host, target and body.
+///
+/// Headers are left out, because each repeat has its own id and deadline, and so is the key,
+/// which a team may replace.
+fn fingerprint(team: Tag, request: &HttpRequest, body: &[u8]) -> Tag {
+    let host = host_name(request).to_ascii_lowercase();
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let method = request.method().as_str();
+    strike::fingerprint(team, &[method.as_bytes(), host.as_bytes(), target.as_bytes(), body])
+}
+
 /// The value of the `Host` header or of the target's authority, without the port.
 fn host_name(request: &HttpRequest) -> &str {
     let named = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
--- a/crates/policy/src/strike.rs
+++ b/crates/policy/src/strike.rs
@@ -29,11 +29,14 @@
     }
 }
 
-/// Digests a request body together with its team.
-pub fn fingerprint(team: Tag, body: &[u8]) -> Tag {
+/// Digests the parts that make two requests of a team the same, each with its length.
+pub fn fingerprint(team: Tag, parts: &[&[u8]]) -> Tag {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&team.0.to_le_bytes());
-    hasher.update(body);
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
     let digest = hasher.finalize();
     let (head, _) = digest.as_bytes().split_at(8);
     Tag(u64::from_le_bytes(head.try_into().expect("eight bytes")))
