Let hosts compare the strikes that they know and pull missing ones

A strike was sent once, in one datagram to each host that seemed alive. A host that started later, was partitioned or frozen, or lost the datagram never learned of it, and once the hosts that knew it were replaced the request was free again: callers could crash two more upstreams at each such host.

Every second each host now sends the digest of its strikes to one other host at random (20 bytes of payload). A host that knows others pulls them over TCP and replies with its own digest, so that both catch up.

--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 
 use damaskhatch_policy::config::Head;
+use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::registry::{Change, Registry};
+use damaskhatch_policy::strike::Ledger;
 use damaskhatch_wire::prelude::Body;
 
 /// What peers may pull from this host.
@@ -18,6 +20,8 @@
     pub withdrawn: Vec<String>,
     /// The upstreams registered in the store; empty without a catalogue.
     pub upstreams: Arc<Registry>,
+    /// The requests that crashed upstreams.
+    pub strikes: Arc<Ledger>,
 }
 
 /// The archive, shared between the control actors that update it and the TCP server.
@@ -44,6 +48,11 @@
             let changes = partial.unwrap_or_else(|| all_entries(&upstreams));
             (version > 0).then_some(Body::Listing { version, is_partial, changes })
         }
+        Body::GetStrikes => {
+            let strikes = Arc::clone(&archive.strikes);
+            drop(archive);
+            Some(Body::Strikes(strikes.reports(Instant::now())))
+        }
         _ => None,
     }
 }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -116,8 +116,13 @@
         };
         let strikes = {
             let (shared, scheduling) = (shared.clone(), scheduling.clone());
+            let channels = strikes::Channels {
+                codec: Arc::clone(codec),
+                archive: Arc::clone(archive),
+                publish: strikes,
+            };
             Supervisor::start_in_arbiter(&thread, |_| {
-                strikes::Strikes::new(shared, scheduling, strikes)
+                strikes::Strikes::new(shared, scheduling, channels)
             })
         };
         let follow = shared.deployment.catalogue.map(|catalogue| {
@@ -160,7 +165,9 @@
             | Body::Redirect { .. }
             | Body::UnknownRequests(_)
             | Body::Released(_) => self.claims.do_send(Incoming(arrival)),
-            Body::Strikes(_) => self.strikes.do_send(Incoming(arrival)),
+            Body::Strikes(_) | Body::StrikeDigest { .. } => {
+                self.strikes.do_send(Incoming(arrival));
+            }
             Body::Withdraw(_) | Body::Withdrawn(_) => self.configuration.do_send(Incoming(arrival)),
             Body::Vouch { .. } | Body::GetVouch { .. } | Body::RosterChanged { .. } => {
                 self.roster.do_send(Incoming(arrival));
@@ -173,6 +180,7 @@
             Body::GetListing { .. }
             | Body::Listing { .. }
             | Body::GetHead
+            | Body::GetStrikes
             | Body::Head { .. }
             | Body::GetChunks(_)
             | Body::Chunks(_) => {
--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -1,20 +1,29 @@
 //! Records the strikes against requests that crash upstreams, and shares them with all hosts.
 //!
-//! A strike is sent to every live host at once.
+//! A strike is sent to every live host at once. Datagrams get lost and hosts start later, so
+//! hosts also compare digests of what they know and pull what they lack.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskhatch_policy::strike::{Ledger, Report, Strike};
 use damaskhatch_policy::suspect::{Suspect, Suspects};
 use damaskhatch_wire::prelude::Body;
+use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 
 use crate::control::Incoming;
+use crate::control::configuration::SharedArchive;
 use crate::control::scheduling::{ClearSuspicion, Scheduling};
+use crate::peers::{SharedCodec, query};
 use crate::prelude::*;
 use crate::shared::Shared;
 use crate::supervise::guard;
 
+/// The time between two comparisons of strikes with another host.
+///
+/// A started host must know all strikes well within 3 s, and a comparison takes 20 bytes.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two checks of the suspects against the registry.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long an upstream must outlive a response for it to clear the request of its strikes.
@@ -45,31 +54,39 @@
     pub upstream: Tag,
 }
 
+/// The channels and codec that the actor shares with the host's other parts.
+#[derive(Debug)]
+pub struct Channels {
+    /// Seals the queries to other hosts.
+    pub codec: SharedCodec,
+    /// What other hosts may pull from this one.
+    pub archive: SharedArchive,
+    /// Publishes the ledger to all threads.
+    pub publish: watch::Sender<Arc<Ledger>>,
+}
+
 /// The actor that records which requests crash upstreams.
 #[derive(Debug)]
 pub struct Strikes {
     shared: Shared,
     scheduling: Addr<Scheduling>,
-    /// Publishes the ledger to all threads.
-    publish: watch::Sender<Arc<Ledger>>,
+    channels: Channels,
     ledger: Ledger,
     /// Attempts that may have crashed their upstream.
     suspects: Suspects,
+    is_pulling: bool,
 }
 
 impl Strikes {
     /// Creates the actor, without any strikes.
-    pub fn new(
-        shared: Shared,
-        scheduling: Addr<Scheduling>,
-        publish: watch::Sender<Arc<Ledger>>,
-    ) -> Self {
+    pub fn new(shared: Shared, scheduling: Addr<Scheduling>, channels: Channels) -> Self {
         Self {
             shared,
             scheduling,
-            publish,
+            channels,
             ledger: Ledger::default(),
             suspects: Suspects::default(),
+            is_pulling: false,
         }
     }
 
@@ -124,10 +141,12 @@
         }
     }
 
-    /// Makes the ledger visible to all threads.
+    /// Makes the ledger visible to all threads and peers.
     fn publish(&self) {
         let ledger = Arc::new(self.ledger.clone());
-        self.publish.send_replace(ledger);
+        let archive = self.channels.archive.lock();
+        archive.unwrap_or_else(std::sync::PoisonError::into_inner).strikes = Arc::clone(&ledger);
+        self.channels.publish.send_replace(ledger);
         let culprits: Vec<Tag> = self.ledger.culprits().collect();
         self.shared.metrics.quarantined.set(culprits.len() as i64);
         for crash in culprits.iter().flat_map(|culprit| self.ledger.crashes_of(*culprit)) {
@@ -149,12 +168,46 @@
             self.publish();
         }
     }
+
+    /// Sends the digest of this host's strikes to another host, chosen at random.
+    fn compare(&mut self) {
+        let now = Instant::now();
+        self.ledger.remove_expired(now);
+        let hosts = self.shared.hosts();
+        let alive = hosts.members().filter(|member| member.is_alive(now));
+        if let Some(member) = alive.choose(&mut rand::rng()) {
+            let body = Body::StrikeDigest { digest: self.ledger.digest(), is_reply: false };
+            self.shared.outbox.send(member.record.address, body);
+        }
+    }
+
+    /// Pulls the strikes of a host that knows others than this one.
+    fn pull(&mut self, from: SocketAddr, ctx: &mut Context<Self>) {
+        if std::mem::replace(&mut self.is_pulling, true) {
+            return;
+        }
+        let own = self.shared.settings.host.peer.ip();
+        let codec = SharedCodec::clone(&self.channels.codec);
+        let metrics = self.shared.metrics.clone();
+        let pulled = async move { query(own, from, &codec, &metrics, Body::GetStrikes).await };
+        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, _ctx| {
+            actor.is_pulling = false;
+            match pulled {
+                Ok(Body::Strikes(reports)) => actor.merge(&reports, "peer"),
+                Ok(_other) => log::warn!("event=strikes_not_pulled peer={from} reason=not_strikes"),
+                Err(error) => log::info!("event=strikes_not_pulled peer={from} error={error}"),
+            }
+        }));
+    }
 }
 
 impl Actor for Strikes {
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(COMPARE_INTERVAL, |actor, ctx| {
+            guard(actor, ctx, |actor, _| actor.compare());
+        });
         ctx.run_interval(CHECK_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| {
                 let registry = actor.shared.upstreams();
@@ -169,8 +222,10 @@
 
 impl Supervised for Strikes {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
+        // The other hosts know the strikes.
         self.ledger = Ledger::default();
         self.suspects = Suspects::default();
+        self.is_pulling = false;
     }
 }
 
@@ -178,10 +233,18 @@
     type Result = ();
 
     fn handle(&mut self, message: Incoming, ctx: &mut Context<Self>) {
-        guard(self, ctx, |actor, _| {
-            if let Body::Strikes(reports) = &message.0.body {
-                actor.merge(reports, "peer");
+        let arrival = message.0;
+        guard(self, ctx, |actor, ctx| match arrival.body {
+            Body::Strikes(reports) => actor.merge(&reports, "peer"),
+            Body::StrikeDigest { digest, is_reply } if digest != actor.ledger.digest() => {
+                if !is_reply {
+                    let digest = actor.ledger.digest();
+                    let body = Body::StrikeDigest { digest, is_reply: true };
+                    actor.shared.outbox.send(arrival.source, body);
+                }
+                actor.pull(arrival.source, ctx);
             }
+            _ => {}
         });
     }
 }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -119,7 +119,7 @@
         },
         /// Confirms the end of a lease.
         Released(Request),
-        /// Reports requests under which upstreams crashed.
+        /// Reports requests under which upstreams crashed; also replies to [`Body::GetStrikes`].
         Strikes(Vec<Report>),
         /// Withdraws the API key with this digest.
         Withdraw(String),
@@ -193,5 +193,14 @@
             /// Each team with the remaining tokens of its bucket.
             levels: Vec<(Tag, f64)>,
         },
+        /// Tells which strikes the sender knows, so that the receiver can pull missing ones.
+        StrikeDigest {
+            /// The digest of the sender's strikes.
+            digest: u64,
+            /// Whether this is a reply, which needs none itself.
+            is_reply: bool,
+        },
+        /// Asks for all strikes that the receiver knows; TCP only.
+        GetStrikes,
     }
 }
