Save the strikes to which crashes are attributed in the store

Only the hosts' memory knew a quarantine, and no host has a disk: after a restart of all of them a request that had crashed three engines was free to crash two more, each time.

The host that observes the deciding strike, and the readers of each domain, write the strikes to which crashes are attributed under one key, by compare-and-swap and only if the copy lacks them; every host reads it once after its start. Single strikes are not saved: losing one costs at most one more crash. Compared with saving every strike this takes one write for each quarantine instead of one for each request that ran beside a crash, and nothing depends on the store while it is down: writes are tried again until it is back.

--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -1,7 +1,10 @@
 //! Records the strikes against requests that crash upstreams, and shares them with all hosts.
 //!
 //! A strike is sent to every live host at once. Datagrams get lost and hosts start later, so
-//! hosts also compare digests of what they know and pull what they lack.
+//! hosts also compare digests of what they know and pull what they lack. The requests to which
+//! crashes are attributed are saved in the store as well, for a fleet that restarts as a whole.
+
+mod saved;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -75,6 +78,7 @@
     /// Attempts that may have crashed their upstream.
     suspects: Suspects,
     is_pulling: bool,
+    store: saved::State,
 }
 
 impl Strikes {
@@ -87,11 +91,12 @@
             ledger: Ledger::default(),
             suspects: Suspects::default(),
             is_pulling: false,
+            store: saved::State::default(),
         }
     }
 
     /// Records a strike that this host observed and sends it to every live host.
-    fn observe(&mut self, record: Record) {
+    fn observe(&mut self, record: Record, ctx: &mut Context<Self>) {
         let now = Instant::now();
         let Record { strike, crashed_at } = record;
         let age = now.saturating_duration_since(crashed_at);
@@ -102,11 +107,11 @@
         self.shared.metrics.strikes.inc();
         self.log(&report, "observed");
         self.broadcast(&[report]);
-        self.publish();
+        self.publish(true, ctx);
     }
 
     /// Merges what another host or the store knows.
-    fn merge(&mut self, reports: &[Report], source: &str) {
+    fn merge(&mut self, reports: &[Report], source: &str, ctx: &mut Context<Self>) {
         let now = Instant::now();
         let mut has_changed = false;
         for report in reports {
@@ -116,7 +121,8 @@
             }
         }
         if has_changed {
-            self.publish();
+            // Each domain's readers save it, in case the host that observed it has gone since.
+            self.publish(self.shared.is_reader(), ctx);
         }
     }
 
@@ -141,8 +147,8 @@
         }
     }
 
-    /// Makes the ledger visible to all threads and peers.
-    fn publish(&self) {
+    /// Makes the ledger visible to all threads and peers, and saves it if `may_save`.
+    fn publish(&mut self, may_save: bool, ctx: &mut Context<Self>) {
         let ledger = Arc::new(self.ledger.clone());
         let archive = self.channels.archive.lock();
         archive.unwrap_or_else(std::sync::PoisonError::into_inner).strikes = Arc::clone(&ledger);
@@ -152,10 +158,13 @@
         for crash in culprits.iter().flat_map(|culprit| self.ledger.crashes_of(*culprit)) {
             self.scheduling.do_send(ClearSuspicion(crash.upstream));
         }
+        if may_save {
+            self.save(ctx);
+        }
     }
 
     /// Clears the strikes of a request that was served, if its upstream is still running.
-    fn settle(&mut self, served: Served, served_at: Instant) {
+    fn settle(&mut self, served: Served, served_at: Instant, ctx: &mut Context<Self>) {
         let Served { fingerprint, upstream } = served;
         if self.ledger.has_crashed(upstream, served_at) {
             return;
@@ -165,7 +174,7 @@
             let strikes = cleared.len();
             log::info!("event=strikes_cleared fingerprint={fingerprint} strikes={strikes}");
             self.broadcast(&cleared);
-            self.publish();
+            self.publish(true, ctx);
         }
     }
 
@@ -190,10 +199,10 @@
         let codec = SharedCodec::clone(&self.channels.codec);
         let metrics = self.shared.metrics.clone();
         let pulled = async move { query(own, from, &codec, &metrics, Body::GetStrikes).await };
-        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, _ctx| {
+        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, ctx| {
             actor.is_pulling = false;
             match pulled {
-                Ok(Body::Strikes(reports)) => actor.merge(&reports, "peer"),
+                Ok(Body::Strikes(reports)) => actor.merge(&reports, "peer", ctx),
                 Ok(_other) => log::warn!("event=strikes_not_pulled peer={from} reason=not_strikes"),
                 Err(error) => log::info!("event=strikes_not_pulled peer={from} error={error}"),
             }
@@ -205,15 +214,16 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
+        self.load(ctx);
         ctx.run_interval(COMPARE_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.compare());
         });
         ctx.run_interval(CHECK_INTERVAL, |actor, ctx| {
-            guard(actor, ctx, |actor, _| {
+            guard(actor, ctx, |actor, ctx| {
                 let registry = actor.shared.upstreams();
                 for suspect in actor.suspects.take_crashed(&registry, Instant::now()) {
                     let Suspect { strike, broke_at: crashed_at, .. } = suspect;
-                    actor.observe(Record { strike, crashed_at });
+                    actor.observe(Record { strike, crashed_at }, ctx);
                 }
             });
         });
@@ -222,10 +232,11 @@
 
 impl Supervised for Strikes {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
-        // The other hosts know the strikes.
+        // The store and the other hosts know the strikes; `started` reads them again.
         self.ledger = Ledger::default();
         self.suspects = Suspects::default();
         self.is_pulling = false;
+        self.store = saved::State::default();
     }
 }
 
@@ -235,7 +246,7 @@
     fn handle(&mut self, message: Incoming, ctx: &mut Context<Self>) {
         let arrival = message.0;
         guard(self, ctx, |actor, ctx| match arrival.body {
-            Body::Strikes(reports) => actor.merge(&reports, "peer"),
+            Body::Strikes(reports) => actor.merge(&reports, "peer", ctx),
             Body::StrikeDigest { digest, is_reply } if digest != actor.ledger.digest() => {
                 if !is_reply {
                     let digest = actor.ledger.digest();
@@ -253,7 +264,7 @@
     type Result = ();
 
     fn handle(&mut self, message: Record, ctx: &mut Context<Self>) {
-        guard(self, ctx, |actor, _| actor.observe(message));
+        guard(self, ctx, |actor, ctx| actor.observe(message, ctx));
     }
 }
 
@@ -276,7 +287,7 @@
     fn handle(&mut self, message: Served, ctx: &mut Context<Self>) {
         let served_at = Instant::now();
         ctx.run_later(SETTLING_TIME, move |actor, ctx| {
-            guard(actor, ctx, |actor, _| actor.settle(message, served_at));
+            guard(actor, ctx, |actor, ctx| actor.settle(message, served_at, ctx));
         });
     }
 }
--- /dev/null
+++ b/crates/damaskhatch/src/control/strikes/saved.rs
@@ -0,0 +1,147 @@
+//! The copy in the store of the strikes to which crashes are attributed.
+//!
+//! It is read once after each start. It is written by the host that observed the last strike
+//! and by each domain's readers, of which all but the first find nothing left to write.
+
+use damaskhatch_policy::strike::{RETENTION, Report};
+use damaskhatch_store::error::{Error, Result};
+use damaskhatch_store::message::Swap;
+use damaskhatch_store::prelude::Client;
+use damaskhatch_wire::frame::wall_ms;
+use serde::{Deserialize, Serialize};
+
+use super::Strikes;
+use crate::prelude::*;
+
+/// The key of the copy.
+const KEY: &str = "damaskhatch/strikes";
+/// The pause before a failed read or write is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// The maximum number of reports saved, which keeps the value far below a megabyte.
+const MAX_SAVED: usize = 1_024;
+
+/// The progress of reading and writing the copy.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Whether a write is in progress.
+    is_saving: bool,
+    /// Whether the strikes have changed since the write in progress began.
+    is_changed: bool,
+}
+
+/// A report as it is saved, with the time of its crash on the wall clock.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Saved {
+    report: Report,
+    /// In milliseconds since the Unix epoch; the age in the report is from the time of writing.
+    crashed_ms: u64,
+}
+
+impl Strikes {
+    /// Reads the copy after a start, and again until that succeeds.
+    pub(super) fn load(&self, ctx: &mut Context<Self>) {
+        let client = self.shared.store();
+        let loaded = async move { read(&client).await };
+        ctx.spawn(loaded.into_actor(self).map(|loaded, actor, ctx| match loaded {
+            Ok((saved, _version)) => actor.merge(&reports(saved), "store", ctx),
+            Err(error) => {
+                log::info!("event=strikes_not_loaded key={KEY} error={error}");
+                ctx.run_later(RETRY_PAUSE, |actor, ctx| actor.load(ctx));
+            }
+        }));
+    }
+
+    /// Writes the strikes to which crashes are attributed, unless the copy has them already.
+    pub(super) fn save(&mut self, ctx: &mut Context<Self>) {
+        self.store.is_changed = true;
+        if std::mem::replace(&mut self.store.is_saving, true) {
+            return;
+        }
+        self.write(ctx);
+    }
+
+    fn write(&mut self, ctx: &mut Context<Self>) {
+        self.store.is_changed = false;
+        let now = Instant::now();
+        let reports: Vec<Report> =
+            self.ledger.culprits().flat_map(|own| self.ledger.reports_of(own, now)).collect();
+        let cleared = self.ledger.reports(now).into_iter().filter(|report| report.is_cleared);
+        let (client, cleared) = (self.shared.store(), cleared.collect::<Vec<_>>());
+        let written = async move { write(&client, &reports, &cleared).await };
+        ctx.spawn(written.into_actor(self).map(|written, actor, ctx| {
+            let result = if written.is_ok() { "ok" } else { "failed" };
+            actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
+            match written {
+                Ok(others) => actor.merge(&others, "store", ctx),
+                Err(error) => {
+                    log::info!("event=strikes_not_saved key={KEY} error={error}");
+                    actor.store.is_changed = true;
+                }
+            }
+            if !actor.store.is_changed {
+                actor.store.is_saving = false;
+                return;
+            }
+            ctx.run_later(RETRY_PAUSE, Self::write);
+        }));
+    }
+}
+
+/// Whether two reports are about the same strike.
+fn is_same(one: &Report, other: &Report) -> bool {
+    one.strike.fingerprint == other.strike.fingerprint && one.strike.crash == other.strike.crash
+}
+
+/// Reads the copy and its version; nothing and 0 if there is none.
+async fn read(client: &Client) -> Result<(Vec<Saved>, u64)> {
+    let item = match client.get(KEY).await {
+        Ok(item) => item,
+        Err(Error::Missing) => return Ok((Vec::new(), 0)),
+        Err(error) => return Err(error),
+    };
+    let saved = serde_json::from_str(&item.value).unwrap_or_else(|error| {
+        log::warn!("event=strikes_unreadable key={KEY} error={error} action=overwrite");
+        Vec::new()
+    });
+    Ok((saved, item.version))
+}
+
+/// Adds `reports` to the copy and removes those that are cleared or have expired; returns what
+/// the copy had besides.
+async fn write(client: &Client, reports: &[Report], cleared: &[Report]) -> Result<Vec<Report>> {
+    let now_ms = wall_ms();
+    let (mut saved, version) = read(client).await?;
+    let before = saved.len();
+    saved.retain(|saved| {
+        let is_cleared = cleared.iter().any(|cleared| is_same(cleared, &saved.report));
+        !is_cleared && now_ms.saturating_sub(saved.crashed_ms) < RETENTION.as_millis() as u64
+    });
+    let others = self::reports(saved.clone());
+    let is_new = |report: &&Report| !others.iter().any(|known| is_same(known, report));
+    let added = reports.iter().filter(|report| !report.is_cleared).filter(is_new);
+    let mut is_changed = saved.len() != before;
+    for report in added {
+        is_changed = true;
+        let crashed_ms = now_ms.saturating_sub(report.age.as_millis() as u64);
+        saved.push(Saved { report: report.clone(), crashed_ms });
+    }
+    if is_changed {
+        saved.sort_by_key(|saved| saved.crashed_ms);
+        let excess = saved.len().saturating_sub(MAX_SAVED);
+        saved.drain(..excess);
+        let value = serde_json::to_string(&saved).expect("reports have only strings and numbers");
+        let swap = Swap { value, expect: version, lease: None };
+        client.compare_and_swap(KEY, &swap).await?;
+    }
+    Ok(others)
+}
+
+/// The saved reports with their ages as of now.
+fn reports(saved: Vec<Saved>) -> Vec<Report> {
+    let now_ms = wall_ms();
+    let aged = saved.into_iter().map(|Saved { report, crashed_ms }| {
+        let age = Duration::from_millis(now_ms.saturating_sub(crashed_ms));
+        Report { age, ..report }
+    });
+    aged.collect()
+}
