Don't refuse a stream as not run after an engine has run it

A caller of a resumable route got 503 with outcome 'not-run' if an engine had failed its request with a server error, the budget allowed another attempt, and no engine had room for that one. The request had run.

Cause: reserving for a further attempt gave the refusal of a first one; only the other way out of the loop looked at the history of attempts.

Seen: the new test got 503 not-run before and gets 502 unknown now.

--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -90,7 +90,12 @@
     }
     loop {
         check_quarantine(entry, routed, progress)?;
-        let mut reservation = reserve(entry, routed, terms, progress).await?;
+        let reserved = reserve(entry, routed, terms, progress).await;
+        // After an attempt that may have run, a status that means "not run" would be false.
+        let mut reservation = reserved.map_err(|refusal| {
+            let failed = Refusal::from(Kind::UpstreamFailed).with_may_have_run(true);
+            if progress.history.may_have_run { failed } else { refusal }
+        })?;
         let export = prefill(entry, routed, progress).await;
         check_quarantine(entry, routed, progress)?;
         let mut extra = vec![
