Check a routed request's key again before each attempt

A request on a route that waited for room at the engines was sent to one although its key had been removed from the configuration meanwhile; so was each further attempt. The own interface checks the key again when a request leaves its queue.

Routes now have one gate before every attempt, check_admission, for the quarantine and the key.

--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -9,6 +9,8 @@
 use damaskhatch_policy::registry;
 
 use crate::entry::Entry;
+use crate::entry::access::identify;
+use crate::entry::refusal::Refusal;
 use crate::headers;
 use crate::relay::crash::{Broken, examine};
 use crate::relay::dialect::Call;
@@ -107,6 +109,19 @@
     Ok(())
 }
 
+/// Refuses a request that no upstream may get, or get again: it has crashed several, or its key
+/// has become invalid since it was accepted.
+pub fn check_admission(entry: &Entry, routed: &Routed, history: History) -> Result<(), Refusal> {
+    let may_have_run = history.may_have_run;
+    entry.check_quarantine(&routed.label, routed.fingerprint, may_have_run)?;
+    let key = routed.caller.as_ref().filter(|_| !routed.route.open);
+    if let Some(digest) = key.and_then(|caller| caller.digest.clone()) {
+        let identified = identify(&entry.shared.snapshot(), Some(digest));
+        identified.map_err(|refusal| refusal.with_may_have_run(may_have_run))?;
+    }
+    Ok(())
+}
+
 /// Spends a retry of the service's budget if the request may be sent to another upstream.
 ///
 /// Returns false if the time limit has passed, or if the route or the budget allows no retry.
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -11,7 +11,7 @@
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
-use super::attempt::{Attempt, Failure, record_failure, send, try_acquire_retry};
+use super::attempt::{Attempt, Failure, check_admission, record_failure, send, try_acquire_retry};
 use super::request::Routed;
 use super::response::build_response;
 use crate::entry::Entry;
@@ -33,10 +33,7 @@
     entry.earn_service_retry(routed.service);
     check_backlog(entry, &routed)?;
     while let Some(upstream) = choose_upstream(entry, &routed, &tried) {
-        let may_have_run = history.may_have_run;
-        if let Err(refusal) =
-            entry.check_quarantine(&routed.label, routed.fingerprint, may_have_run)
-        {
+        if let Err(refusal) = check_admission(entry, &routed, history) {
             if failed.is_some() {
                 break;
             }
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -18,7 +18,7 @@
 use damaskhatch_policy::registry;
 use damaskhatch_policy::sheet::{EngineTerms, Role};
 
-use super::attempt::{Attempt, Failure, record_failure, send, try_acquire_retry};
+use super::attempt::{Attempt, Failure, check_admission, record_failure, send, try_acquire_retry};
 use super::held::{Export, Reservation};
 use super::request::{Routed, Tokens};
 use crate::entry::Entry;
@@ -89,7 +89,7 @@
         headers::set(&mut routed.headers, entry.header_names().last_event, &last.to_string());
     }
     loop {
-        check_quarantine(entry, routed, progress)?;
+        check_admission(entry, routed, progress.history)?;
         let reserved = reserve(entry, routed, terms, progress).await;
         // After an attempt that may have run, a status that means "not run" would be false.
         let mut reservation = reserved.map_err(|refusal| {
@@ -97,7 +97,7 @@
             if progress.history.may_have_run { failed } else { refusal }
         })?;
         let export = prefill(entry, routed, progress).await;
-        check_quarantine(entry, routed, progress)?;
+        check_admission(entry, routed, progress.history)?;
         let mut extra = vec![
             (entry.header_names().reservation, reservation.name().to_owned()),
             (entry.header_names().urgency, urgency.min(9).to_string()),
@@ -136,12 +136,6 @@
     }
 }
 
-/// Refuses a request that has crashed several engines.
-fn check_quarantine(entry: &Entry, routed: &Routed, progress: &Progress) -> Result<(), Refusal> {
-    let may_have_run = progress.history.may_have_run;
-    entry.check_quarantine(&routed.label, routed.fingerprint, may_have_run).map(drop)
-}
-
 /// Reserves at the least loaded decode engine that has room, or refuses the request.
 async fn reserve(
     entry: &Entry,
@@ -225,7 +219,7 @@
     let phase = entry.shared.deployment.dialect.prefill_phase.to_owned();
     for _ in 0..MAX_PREFILL_ATTEMPTS {
         // The first of two engines may have crashed under the request.
-        check_quarantine(entry, routed, progress).ok()?;
+        check_admission(entry, routed, progress.history).ok()?;
         let now = Instant::now();
         let engine = {
             let outliers = entry.outliers();
