Probe an upstream that still accepts connections once more, not twice

Each failed attempt on a route at an upstream that goes on cost three connections for evidence of a crash. One further probe after 100 ms covers what the first can miss while a process ends; a later start is seen in the registry.

--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -20,10 +20,10 @@
 /// The kernel resets the connections of an ending process one by one, the listener's too, so
 /// the first one may break before new ones are refused.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(5);
-/// The pauses before an upstream is probed again that was not seen to have ended.
+/// The pause before an upstream is probed again that was not seen to have ended.
 ///
 /// While a process ends, a connection to it may be accepted, or left without a response.
-const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// How long a new start counts as evidence for an upstream that accepts connections.
 ///
 /// Long enough for a restarted upstream to register itself, and shorter than the time in which
@@ -101,13 +101,8 @@
     let suspect = Suspect { strike, address, broke_at, watch_until };
     entry.control.strikes.do_send(Watch(suspect));
     actix_rt::spawn(async move {
-        for pause in PROBE_PAUSES {
-            tokio::time::sleep(pause).await;
-            let evidence = conclude(&entry, &broken).await;
-            if matches!(evidence, Evidence::Refused | Evidence::Leaving) {
-                return;
-            }
-        }
+        tokio::time::sleep(PROBE_PAUSE).await;
+        conclude(&entry, &broken).await;
     });
 }
 
