--- a/crates/policy/benches/decisions.rs
+++ b/crates/policy/benches/decisions.rs
@@ -8,6 +8,7 @@
 use damaskhatch_policy::schedule::message::{Demand, Release};
 use damaskhatch_policy::schedule::{ADOPTION_TIME, Rules, Scheduler};
 use damaskhatch_policy::sheet::Role;
+use damaskhatch_policy::strike::{Crash, Ledger, MAX_FINGERPRINTS, Report, Strike};
 
 /// Engines of the scheduler, half of them prefill and half decode.
 const ENGINES: usize = 32;
@@ -89,5 +90,44 @@
     });
 }
 
-criterion_group!(benches, bench_schedule, bench_quota);
+/// A full ledger: requests with one strike, and one that crashed two upstreams.
+fn full_ledger(culprit: Tag, now: Instant) -> Ledger {
+    let mut ledger = Ledger::default();
+    let strike = |fingerprint, upstream| Strike {
+        fingerprint,
+        crash: Crash { upstream: Tag(upstream), started_ms: 1, name: "i-7f3a91c2".to_owned() },
+        ran_for: Duration::from_millis(20),
+    };
+    let mut record = |strike, age| {
+        ledger.record(&Report { strike, age, is_cleared: false }, now);
+    };
+    for serial in 1..MAX_FINGERPRINTS as u64 {
+        let age = Duration::from_secs(60 + serial);
+        record(strike(Tag(1 << 20 | serial), serial / 12), age);
+    }
+    record(strike(culprit, 1), Duration::from_secs(50));
+    record(strike(culprit, 2), Duration::from_secs(40));
+    ledger
+}
+
+fn bench_strikes(criterion: &mut Criterion) {
+    let now = Instant::now();
+    let (culprit, struck) = (Tag(1), Tag(1 << 20 | 5));
+    let ledger = full_ledger(culprit, now);
+    let mut group = criterion.benchmark_group("strikes");
+    for (name, fingerprint) in [("check_unknown", Tag(2)), ("check_struck", struck)] {
+        group.bench_function(name, |bench| {
+            bench.iter(|| black_box(ledger.refused_for(fingerprint, now)));
+        });
+    }
+    group.bench_function("check_culprit", |bench| {
+        bench.iter(|| black_box(ledger.refused_for(culprit, now)));
+    });
+    group.bench_function("publish", |bench| {
+        bench.iter(|| black_box((ledger.clone(), ledger.culprits().count())));
+    });
+    group.finish();
+}
+
+criterion_group!(benches, bench_schedule, bench_quota, bench_strikes);
 criterion_main!(benches);
--- a/crates/policy/src/strike.rs
+++ b/crates/policy/src/strike.rs
@@ -152,7 +152,7 @@
 }
 
 impl Ledger {
-    /// Merges a report; returns false if it contains nothing new.
+    /// Merges a report; returns false if it changes nothing but the time of a crash, by little.
     pub fn record(&mut self, report: &Report, now: Instant) -> bool {
         self.remove_expired(now);
         let Report { strike, age, is_cleared } = report;
@@ -162,7 +162,15 @@
         let entry = Entry { strike: strike.clone(), crashed_at, is_cleared: *is_cleared };
         let known = self.strikes.entry(strike.fingerprint).or_default();
         if let Some(same) = known.iter_mut().find(|known| known.is_same_crash(&entry)) {
-            return *is_cleared && !std::mem::replace(&mut same.is_cleared, true);
+            let is_newly_cleared = *is_cleared && !std::mem::replace(&mut same.is_cleared, true);
+            // Requests notice a silent end at different times; hosts agree on the earliest.
+            let is_earlier = same.crashed_at.saturating_duration_since(crashed_at) >= EVENT_GAP;
+            if crashed_at < same.crashed_at {
+                same.crashed_at = crashed_at;
+                same.strike.ran_for = strike.ran_for;
+                known.sort_by_key(|entry| entry.crashed_at);
+            }
+            return is_newly_cleared || is_earlier;
         }
         known.push(entry);
         known.sort_by_key(|entry| entry.crashed_at);
@@ -212,8 +220,7 @@
 
     /// The remaining time for which the fingerprint is refused; `None` if it may run.
     pub fn refused_for(&self, fingerprint: Tag, now: Instant) -> Option<Duration> {
-        let own: Vec<&Entry> = self.unexplained(fingerprint).collect();
-        let events = self.attributed_events(fingerprint, &own)?;
+        let (events, own) = self.attributed(fingerprint)?;
         let doublings = u32::try_from(events - LIMIT).unwrap_or(u32::MAX);
         let quarantine = BASE_QUARANTINE.saturating_mul(2_u32.saturating_pow(doublings));
         let latest = own.iter().map(|entry| entry.crashed_at).max()?;
@@ -223,15 +230,13 @@
 
     /// The crashes attributed to the fingerprint, oldest first; empty below the limit.
     pub fn crashes_of(&self, fingerprint: Tag) -> Vec<Crash> {
-        let own: Vec<&Entry> = self.unexplained(fingerprint).collect();
-        let is_attributed = self.attributed_events(fingerprint, &own).is_some();
-        let crashes = own.into_iter().filter(|_| is_attributed);
-        crashes.map(|entry| entry.strike.crash.clone()).collect()
+        let own = self.attributed(fingerprint).map(|(_events, own)| own).unwrap_or_default();
+        own.into_iter().map(|entry| entry.strike.crash.clone()).collect()
     }
 
     /// The fingerprints to which crashes are attributed, also those whose quarantine is over.
     pub fn culprits(&self) -> impl Iterator<Item = Tag> {
-        self.strikes.keys().copied().filter(|own| !self.crashes_of(*own).is_empty())
+        self.strikes.keys().copied().filter(|own| self.attributed(*own).is_some())
     }
 
     /// All unexpired strikes, for another host.
@@ -274,12 +279,18 @@
         })
     }
 
-    /// The number of events in `own` if they are attributed to the fingerprint.
-    fn attributed_events(&self, fingerprint: Tag, own: &[&Entry]) -> Option<usize> {
+    /// The strikes attributed to the fingerprint, oldest first, and the number of their events;
+    /// `None` below the limit.
+    fn attributed(&self, fingerprint: Tag) -> Option<(usize, Vec<&Entry>)> {
+        // Most requests with strikes have one, which needs no comparison with all others.
+        if self.counted(fingerprint).count() < LIMIT {
+            return None;
+        }
+        let own: Vec<&Entry> = self.unexplained(fingerprint).collect();
         let events = count_events(own.iter().copied());
         let is_attributed =
-            events > LIMIT || (events == LIMIT && !self.is_ambiguous(fingerprint, own));
-        is_attributed.then_some(events)
+            events > LIMIT || (events == LIMIT && !self.is_ambiguous(fingerprint, &own));
+        is_attributed.then_some((events, own))
     }
 
     /// Whether another fingerprint that as many events count against explains all of `own`.
--- a/crates/policy/tests/strikes.rs
+++ b/crates/policy/tests/strikes.rs
@@ -11,6 +11,7 @@
 };
 use damaskhatch_policy::suspect::{Suspect, Suspects};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -165,6 +166,24 @@
     assert!(ledger.refused_for(CULPRIT, now).is_some(), "the quarantine was displaced");
 }
 
+/// Guards against hosts that disagree on who is refused, because their requests noticed the same
+/// silent crash at different times.
+#[test]
+fn hosts_that_notice_a_crash_at_different_times_agree_on_the_earliest() {
+    let start = Instant::now();
+    let mut ledgers = [Ledger::default(), Ledger::default()];
+    for (ledger, seconds) in ledgers.iter_mut().zip([1, 19]) {
+        let now = start + Duration::from_secs(seconds);
+        ledger.record(&report(strike(CULPRIT, 3)), now);
+    }
+    let now = start + Duration::from_secs(20);
+    let [mut one, mut other] = ledgers;
+    let (of_one, of_other) = (one.reports(now), other.reports(now));
+    assert!(other.record(&of_one[0], now), "the earlier time is new");
+    assert!(!one.record(&of_other[0], now), "the later time is not");
+    assert_eq!(one.reports(now), other.reports(now));
+}
+
 #[test]
 fn the_parts_of_a_fingerprint_do_not_run_into_each_other() {
     let one = fingerprint(Tag(7), &[b"/a", b"bc"]);
@@ -342,7 +361,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
 
     /// Guards against hosts that compare digests for ever: once both have told each other all
     /// they know, in any order, they agree on who is refused.
