Examine a silent upstream whose caller leaves before the time limit

A request under which a machine lost power got no strike: no byte comes back, so the attempt does not break off, and callers of streams leave after some seconds of silence, before the time limit. The handler is dropped with the attempt then, and nobody looked at the upstream. Such a request could silence one machine after the other.

An attempt that is dropped after a second without a byte is now examined like one that broke off. The silent upstream is watched for a new start, which is the evidence.

Seen: the new test's caller leaves after 1.3 s, twice; the third request reached the server before and is refused with 429 now.

--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -12,7 +12,7 @@
 use crate::entry::access::identify;
 use crate::entry::refusal::Refusal;
 use crate::headers;
-use crate::relay::crash::{Broken, examine};
+use crate::relay::crash::{Broken, Pending, examine};
 use crate::relay::dialect::Call;
 use crate::relay::request::Routed;
 
@@ -81,8 +81,11 @@
         is_upstream_at_fault: false,
     })?;
     *request.headers_mut() = headers;
+    let mut pending = Pending::new(entry, routed, upstream);
     let sent = exchange::send(upstream.address, CONNECT_TIMEOUT, request);
-    let response = match tokio::time::timeout_at(routed.limit, sent).await {
+    let sent = tokio::time::timeout_at(routed.limit, sent).await;
+    pending.settle();
+    let response = match sent {
         Ok(sent) => sent.map_err(|error| Failure::from_exchange(&error))?,
         Err(_elapsed) => return Err(Failure::timed_out()),
     };
--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -32,6 +32,11 @@
 /// The same for an upstream that does not respond to connections.
 const RETURNED_WITHIN: Duration = Duration::from_secs(30);
 
+/// The time without a byte from an upstream after which it is examined if the caller leaves.
+///
+/// Most callers that leave are only impatient; the upstream has responded to others meanwhile.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+
 /// What a new connection shows about an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
@@ -86,6 +91,48 @@
     }
 }
 
+/// An attempt in progress, examined on drop if its upstream was silent.
+///
+/// It is dropped unsettled when the caller closes its connection, which callers of a silent
+/// upstream do before the time limit.
+#[derive(Debug)]
+pub struct Pending<'a> {
+    entry: &'a Entry,
+    routed: &'a Routed,
+    upstream: &'a registry::Entry,
+    sent_at: Instant,
+    is_settled: bool,
+}
+
+impl<'a> Pending<'a> {
+    /// Begins an attempt at an upstream.
+    pub fn new(entry: &'a Entry, routed: &'a Routed, upstream: &'a registry::Entry) -> Self {
+        Self { entry, routed, upstream, sent_at: Instant::now(), is_settled: false }
+    }
+
+    /// Ends the attempt with a response or a failure, which others examine.
+    pub const fn settle(&mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            let Self { entry, routed, upstream, sent_at, .. } = *self;
+            examine_if_silent(entry, Broken::new(routed, upstream, sent_at), sent_at);
+        }
+    }
+}
+
+/// Examines in the background the upstream of an attempt whose caller has left, if no byte has
+/// come from it for long.
+pub fn examine_if_silent(entry: &Entry, broken: Broken, last_byte_at: Instant) {
+    if broken.broke_at.saturating_duration_since(last_byte_at) >= SILENT_AFTER {
+        actix_rt::spawn(examine(entry.clone(), broken));
+    }
+}
+
 /// Examines the upstream of an attempt that broke off.
 ///
 /// Returns once a strike is known to all threads of this host, so that the request's next
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use damaskhatch_exchange as exchange;
 use damaskhatch_policy::attempt::Outcome;
+use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::routing::Repeat;
 use futures_util::stream::{Stream, unfold};
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
-use super::crash::{Broken, examine};
+use super::crash::{Broken, examine, examine_if_silent};
 use super::events::Splitter;
 use super::pair::{Progress, Running, start};
 use super::request::Routed;
@@ -42,14 +43,21 @@
     is_awaiting_first: bool,
     /// Whether the end of the stream has been logged and counted.
     is_ended: bool,
+    /// When the current engine last sent bytes.
+    last_byte_at: Instant,
 }
 
 /// Returns the body of the caller's response, made of complete events only.
 ///
 /// An error item makes the server close the caller's connection without the end of the body.
 pub fn stream(parts: Parts) -> impl Stream<Item = io::Result<Bytes>> {
-    let state =
-        State { parts, splitter: Splitter::default(), is_awaiting_first: true, is_ended: false };
+    let state = State {
+        parts,
+        splitter: Splitter::default(),
+        is_awaiting_first: true,
+        is_ended: false,
+        last_byte_at: Instant::now(),
+    };
     unfold(Some(state), async |state| {
         let mut state = state?;
         match state.next().await {
@@ -75,6 +83,7 @@
             };
             match read {
                 Some(Ok(bytes)) => {
+                    self.last_byte_at = Instant::now();
                     let complete = self.split_events(&bytes)?;
                     if !complete.is_empty() {
                         return Ok(Some(complete));
@@ -132,6 +141,7 @@
         match start(entry, routed, progress).await {
             Ok(next) if next.response.head.status.is_success() => {
                 *running = next;
+                self.last_byte_at = Instant::now();
                 Ok(())
             }
             _ => {
@@ -179,6 +189,9 @@
 impl Drop for State {
     fn drop(&mut self) {
         if !self.is_ended {
+            let Parts { entry, routed, running, .. } = &self.parts;
+            let broken = Broken::new(routed, &running.reservation.upstream, running.sent_at);
+            examine_if_silent(entry, broken, self.last_byte_at);
             self.end("caller_left");
         }
     }
