--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -143,19 +143,21 @@
     pub sent_at: Instant,
     /// What the upstream was to do, for logs.
     pub phase: &'static str,
+    /// The attempts at the request so far.
+    pub history: History,
 }
 
 /// Logs and counts a failed attempt and, if the upstream is at fault, ejects it for a time.
 ///
-/// If the upstream may have run the request, examines whether that has crashed it, and waits for
-/// the result unless the request is at its time limit.
+/// If the upstream may have run the request, examines whether that has crashed it. Waits for the
+/// result only if another attempt may follow, which must take it into account.
 pub async fn record_failure(
     entry: &Entry,
     routed: &Routed,
     attempt: Attempt<'_>,
     failure: &Failure,
 ) {
-    let Attempt { upstream, sent_at, phase } = attempt;
+    let Attempt { upstream, sent_at, phase, history } = attempt;
     let Failure { outcome, reason, is_upstream_at_fault } = failure;
     if *is_upstream_at_fault {
         entry.outliers().record_failure(upstream.tag, Instant::now());
@@ -172,9 +174,10 @@
     if *outcome == Outcome::Unknown {
         // A task of its own completes also if the caller disconnects meanwhile.
         let broken = Broken::new(routed, upstream, sent_at);
-        let limit = broken.broke_at.max(routed.limit);
         let examined = actix_rt::spawn(examine(entry.clone(), broken));
-        let _known = tokio::time::timeout_at(limit, examined).await;
+        if history.may_retry(routed.route.repeat, routed.route.max_attempts) {
+            let _known = tokio::time::timeout_at(routed.limit, examined).await;
+        }
     }
 }
 
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -61,7 +61,8 @@
             }
             Ok(response) => failed = Some(response),
             Err(failure) => {
-                let attempt = Attempt { upstream: &upstream, sent_at, phase: "plain" };
+                let upstream = &upstream;
+                let attempt = Attempt { upstream, sent_at, phase: "plain", history };
                 record_failure(entry, &routed, attempt, &failure).await;
             }
         }
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -43,7 +43,8 @@
         let reason = format!("engine responded with status {status}");
         let failure = Failure { outcome: Outcome::Ran, reason, is_upstream_at_fault: false };
         let upstream = &running.reservation.upstream;
-        let attempt = Attempt { upstream, sent_at: running.sent_at, phase: "decode" };
+        let (sent_at, history) = (running.sent_at, progress.history);
+        let attempt = Attempt { upstream, sent_at, phase: "decode", history };
         record_failure(entry, &routed, attempt, &failure).await;
         progress.excluded.insert(upstream.tag);
     }
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -122,10 +122,10 @@
             Err(failure) => failure,
         };
         progress.history.record(failure.outcome);
-        let attempt = Attempt { upstream: &reservation.upstream, sent_at, phase: "decode" };
+        let (upstream, history) = (&reservation.upstream, progress.history);
+        let attempt = Attempt { upstream, sent_at, phase: "decode", history };
         record_failure(entry, routed, attempt, &failure).await;
         progress.excluded.insert(reservation.upstream.tag);
-        let history = progress.history;
         if !history.may_have_run {
             routed.restore_charge();
         }
@@ -245,7 +245,8 @@
         match request_export(entry, routed, &engine, &phase).await {
             Ok(export) => return Some(export),
             Err(failure) => {
-                let attempt = Attempt { upstream: &engine, sent_at: now, phase: "prefill" };
+                let (sent_at, history) = (now, progress.history);
+                let attempt = Attempt { upstream: &engine, sent_at, phase: "prefill", history };
                 record_failure(entry, routed, attempt, &failure).await;
             }
         }
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -124,7 +124,8 @@
         let Parts { entry, routed, progress, running } = &mut self.parts;
         let failure = Failure { outcome: Outcome::Unknown, ..Failure::from_exchange(&error) };
         let upstream = &running.reservation.upstream;
-        let attempt = Attempt { upstream, sent_at: running.sent_at, phase: "stream" };
+        let (sent_at, history) = (running.sent_at, progress.history);
+        let attempt = Attempt { upstream, sent_at, phase: "stream", history };
         record_failure(entry, routed, attempt, &failure).await;
         progress.excluded.insert(upstream.tag);
         if let Some(last) = last {
