Don't scan the ledger for expired strikes at each recorded one

A host that pulls a full ledger of 4,096 fingerprints scanned it as many times. The actor removes expired strikes every second anyway.

--- a/crates/policy/src/strike.rs
+++ b/crates/policy/src/strike.rs
@@ -154,7 +154,6 @@
 impl Ledger {
     /// Merges a report; returns false if it changes nothing but the time of a crash, by little.
     pub fn record(&mut self, report: &Report, now: Instant) -> bool {
-        self.remove_expired(now);
         let Report { strike, age, is_cleared } = report;
         let Some(crashed_at) = now.checked_sub(*age).filter(|_| *age < RETENTION) else {
             return false;
