Let operators list quarantined requests and lift a quarantine

An operator could see a quarantine only in the log of a refused request, and end one only by deleting a key of the store and restarting all hosts together. 'damaskhatch quarantine list' and 'lift' use the same clearing as a complete response: on all live hosts, in the store, and for good.

--- a/crates/damaskhatch/src/cli/args.rs
+++ b/crates/damaskhatch/src/cli/args.rs
@@ -63,6 +63,9 @@
     /// Issue, withdraw and list keys
     #[bpaf(command("key"))]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// List the requests that are refused for crashing upstreams, and let one run again
+    #[bpaf(command("quarantine"))]
+    Quarantine(#[bpaf(external(quarantine_command))] QuarantineCommand),
     /// Show the fleet as one host sees it
     #[bpaf(command("status"))]
     Status {
@@ -115,6 +118,21 @@
     },
 }
 
+/// A command on quarantined requests.
+#[derive(Debug, Clone, Bpaf)]
+pub enum QuarantineCommand {
+    /// List each request's fingerprint, the seconds left and the crashed upstreams
+    #[bpaf(command("list"))]
+    List,
+    /// Clear a request's strikes on all hosts, so that it may run again
+    #[bpaf(command("lift"))]
+    Lift {
+        /// Fingerprint, as printed by list and in the log
+        #[bpaf(positional("FINGERPRINT"))]
+        fingerprint: String,
+    },
+}
+
 /// A command on keys.
 #[derive(Debug, Clone, Bpaf)]
 pub enum KeyCommand {
--- a/crates/damaskhatch/src/cli/mod.rs
+++ b/crates/damaskhatch/src/cli/mod.rs
@@ -3,11 +3,12 @@
 pub mod args;
 pub mod call;
 pub mod keys;
+pub mod quarantine;
 pub mod report;
 pub mod sheets;
 pub mod timeline;
 
-use args::{Command, KeyCommand, Options, SheetCommand};
+use args::{Command, KeyCommand, Options, QuarantineCommand, SheetCommand};
 use call::Error;
 
 /// Exit code for a command that was carried out.
@@ -31,6 +32,10 @@
             keys::withdraw(hosts, key, wait_s).await
         }
         Command::Key(KeyCommand::List) => keys::list(hosts).await,
+        Command::Quarantine(QuarantineCommand::List) => quarantine::list(hosts).await,
+        Command::Quarantine(QuarantineCommand::Lift { fingerprint }) => {
+            quarantine::lift(hosts, fingerprint).await
+        }
         Command::Status { json } => report::status(hosts, json).await,
         Command::Explain { logs, request } if logs.is_empty() => {
             report::explain(hosts, &request).await
--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -57,6 +57,11 @@
     pub upstream: Tag,
 }
 
+/// Clears the strikes of a fingerprint at an operator's request; returns how many there were.
+#[derive(Debug, Clone, Copy, Message)]
+#[rtype(result = "usize")]
+pub struct Lift(pub Tag);
+
 /// The channels and codec that the actor shares with the host's other parts.
 #[derive(Debug)]
 pub struct Channels {
@@ -167,13 +172,27 @@
         if self.ledger.has_crashed(upstream, served_at) {
             return;
         }
-        let cleared = self.ledger.clear(fingerprint, served_at, Instant::now());
-        if !cleared.is_empty() {
-            let strikes = cleared.len();
-            log::info!("event=strikes_cleared fingerprint={fingerprint} strikes={strikes}");
+        self.clear(fingerprint, served_at, "served", ctx);
+    }
+
+    /// Clears the strikes for crashes before a moment on all hosts; returns how many there were.
+    fn clear(
+        &mut self,
+        fingerprint: Tag,
+        before: Instant,
+        reason: &str,
+        ctx: &mut Context<Self>,
+    ) -> usize {
+        let cleared = self.ledger.clear(fingerprint, before, Instant::now());
+        let strikes = cleared.len();
+        if strikes > 0 {
+            log::info!(
+                "event=strikes_cleared fingerprint={fingerprint} strikes={strikes} reason={reason}"
+            );
             self.broadcast(&cleared);
             self.publish(true, ctx);
         }
+        strikes
     }
 
     /// Sends the digest of this host's strikes to another host, chosen at random.
@@ -292,3 +311,11 @@
         });
     }
 }
+
+impl Handler<Lift> for Strikes {
+    type Result = usize;
+
+    fn handle(&mut self, message: Lift, ctx: &mut Context<Self>) -> usize {
+        self.clear(message.0, Instant::now(), "operator", ctx)
+    }
+}
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod operator;
 pub mod peers;
 pub mod prelude;
+pub mod quarantine;
 pub mod relay;
 pub mod settings;
 pub mod shared;
--- a/crates/damaskhatch/src/operator.rs
+++ b/crates/damaskhatch/src/operator.rs
@@ -133,7 +133,8 @@
         .route("/v1/keys/issue", web::post().to(issue))
         .route("/v1/keys/withdraw", web::post().to(withdraw))
         .route("/v1/keys/withdrawn/{digest}", web::get().to(withdrawn))
-        .route("/v1/drain", web::post().to(drain));
+        .route("/v1/drain", web::post().to(drain))
+        .configure(crate::quarantine::configure);
 }
 
 /// Reports ready while the host has a configuration and is not draining.
@@ -256,7 +257,8 @@
     }
 }
 
-fn unavailable(reason: &str) -> HttpResponse {
+/// The response while a part of the host cannot answer.
+pub fn unavailable(reason: &str) -> HttpResponse {
     HttpResponse::ServiceUnavailable().json(json!({ "error": reason }))
 }
 
--- a/crates/standins/tests/tool.rs
+++ b/crates/standins/tests/tool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use common::{complete, program, start_proxied};
+use damaskhatch_standins::engine::CRASH_DECODE_MARK;
 use damaskhatch_standins::fleet::Fleet;
 use tokio::time::sleep;
 
@@ -115,3 +116,26 @@
             .await;
     assert_output(&unconfirmed, 1, &["olten-b", "NOT CONFIRMED", "may still work"]);
 }
+
+#[actix_web::test]
+async fn quarantined_requests_are_listed_and_lifted() {
+    let fleet = start_proxied(|plan| plan.decodes_per_domain = 3).await;
+    assert_output(&run_tool(&fleet, false, &["quarantine", "list"]).await, 0, &[]);
+    let prompt = format!("{CRASH_DECODE_MARK} list this");
+    for host in 0..3 {
+        let target = fleet.caller_addresses()[host];
+        complete(target, &fleet.keys["audit"], &prompt, 5).await.expect("a response");
+    }
+    let listed = run_tool(&fleet, false, &["quarantine", "list"]).await;
+    assert_output(&listed, 0, &["-decode-", " s  "]);
+    let fingerprint = listed.text.split(' ').next().expect("a fingerprint").to_owned();
+    let lifted = run_tool(&fleet, false, &["quarantine", "lift", &fingerprint]).await;
+    assert_output(&lifted, 0, &["strikes cleared"]);
+    assert_output(
+        &run_tool(&fleet, false, &["quarantine", "lift", &fingerprint]).await,
+        1,
+        &["knows no strikes"],
+    );
+    let empty = run_tool(&fleet, false, &["quarantine", "list"]).await;
+    assert!(empty.text.is_empty(), "{}", empty.text);
+}
