Log how the end of a response's body was marked

event=stream_ended now has framing= and rest_bytes=, event=answered has framing=. No logic is changed.

--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -4,7 +4,7 @@
 
 use actix_web::HttpResponse;
 use bytes::Bytes;
-use damaskhatch_exchange::{Head, Response};
+use damaskhatch_exchange::{Framing, Head};
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::backlog::Report;
 use damaskhatch_policy::placement::{self, Load};
@@ -24,12 +24,20 @@
 /// The maximum random addition to that delay, so that retries do not coincide.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(300);
 
+/// A complete response of an upstream.
+#[derive(Debug)]
+struct Complete {
+    head: Head,
+    framing: Framing,
+    body: Bytes,
+}
+
 /// Runs a request and returns the upstream's complete response.
 pub async fn run(entry: &Entry, mut routed: Routed) -> Result<HttpResponse, Refusal> {
     let mut history = History::default();
     let mut tried = HashSet::new();
     // The last response with a server error, forwarded if no other attempt succeeds.
-    let mut failed: Option<(Head, Bytes)> = None;
+    let mut failed: Option<Complete> = None;
     entry.earn_service_retry(routed.service);
     check_backlog(entry, &routed)?;
     while let Some(upstream) = choose_upstream(entry, &routed, &tried) {
@@ -56,8 +64,8 @@
             entry.report_served(routed.fingerprint, upstream.tag);
         }
         match result {
-            Ok((head, body)) if !head.status.is_server_error() => {
-                return Ok(forward_response(entry, &routed, &upstream, &head, body));
+            Ok(response) if !response.head.status.is_server_error() => {
+                return Ok(forward_response(entry, &routed, &upstream, response));
             }
             Ok(response) => failed = Some(response),
             Err(failure) => {
@@ -70,7 +78,7 @@
             break;
         }
     }
-    if let Some((head, body)) = failed {
+    if let Some(Complete { head, body, .. }) = failed {
         return Ok(build_response(&head).body(body));
     }
     Err(build_refusal(&routed, history))
@@ -108,13 +116,13 @@
     entry: &Entry,
     routed: &Routed,
     upstream: &registry::Entry,
-) -> Result<(Head, Bytes), Failure> {
+) -> Result<Complete, Failure> {
     let sent = Instant::now();
-    let mut response: Response = send(entry, routed, upstream, &[]).await?;
+    let mut response = send(entry, routed, upstream, &[]).await?;
     observe_load(entry, routed, &response.head, sent);
     let read = tokio::time::timeout_at(routed.limit, response.read_body(MAX_RESPONSE_BYTES)).await;
     match read {
-        Ok(Ok(body)) => Ok((response.head, body)),
+        Ok(Ok(body)) => Ok(Complete { head: response.head, framing: response.framing, body }),
         Ok(Err(error)) => {
             Err(Failure { outcome: Outcome::Unknown, ..Failure::from_exchange(&error) })
         }
@@ -170,15 +178,18 @@
     entry: &Entry,
     routed: &Routed,
     upstream: &registry::Entry,
-    head: &Head,
-    body: Bytes,
+    response: Complete,
 ) -> HttpResponse {
+    let Complete { head, framing, body } = response;
     entry.outliers().record_success(upstream.tag);
     let took = routed.arrived_at.elapsed().as_millis();
     entry.shared.journal.record(
         &routed.label,
-        format_args!("event=answered status={} took_ms={took}", head.status.as_u16()),
+        format_args!(
+            "event=answered status={} took_ms={took} framing={framing}",
+            head.status.as_u16()
+        ),
     );
     entry.shared.metrics.requests.with_label_values(&["routed", "answered"]).inc();
-    build_response(head).body(body)
+    build_response(&head).body(body)
 }
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -45,6 +45,8 @@
     is_ended: bool,
     /// When the current engine last sent bytes.
     last_byte_at: Instant,
+    /// Bytes received after the last complete event, when the body ended.
+    rest_bytes: usize,
 }
 
 /// Returns the body of the caller's response, made of complete events only.
@@ -57,6 +59,7 @@
         is_awaiting_first: true,
         is_ended: false,
         last_byte_at: Instant::now(),
+        rest_bytes: 0,
     };
     unfold(Some(state), async |state| {
         let mut state = state?;
@@ -92,6 +95,7 @@
                 Some(Err(error)) => self.resume(error).await?,
                 None => {
                     let rest = self.splitter.take_rest();
+                    self.rest_bytes += rest.len();
                     if rest.is_empty() {
                         self.record_length();
                         let Parts { entry, routed, running, .. } = &self.parts;
@@ -179,8 +183,9 @@
         entry.shared.journal.record(
             &routed.label,
             format_args!(
-                "event=stream_ended how={how} upstream={} last_event={last} took_ms={took}",
-                running.reservation.upstream.instance
+                "event=stream_ended how={how} upstream={} last_event={last} took_ms={took} \
+                 framing={} rest_bytes={}",
+                running.reservation.upstream.instance, running.response.framing, self.rest_bytes
             ),
         );
         entry.shared.metrics.requests.with_label_values(&["stream", how]).inc();
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,12 +12,13 @@
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use http::header;
 pub use http::response::Parts as Head;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 
@@ -55,6 +56,33 @@
     }
 }
 
+/// How a response marks the end of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Framing {
+    /// length
+    Length,
+    /// chunked
+    Chunked,
+    /// close
+    Close,
+}
+
+impl Framing {
+    /// The framing of a response, from its head and from the length that its body was found to have.
+    fn new(head: &Head, length: Option<u64>) -> Self {
+        let codings = head.headers.get(header::TRANSFER_ENCODING);
+        let codings = codings.and_then(|codings| codings.to_str().ok()).unwrap_or("");
+        let last = codings.rsplit(',').next().unwrap_or("").trim();
+        if length.is_some() {
+            Self::Length
+        } else if last.eq_ignore_ascii_case("chunked") {
+            Self::Chunked
+        } else {
+            Self::Close
+        }
+    }
+}
+
 /// A response whose head has been received, and whose body is read on demand.
 ///
 /// Dropping it closes the connection.
@@ -62,6 +90,8 @@
 pub struct Response {
     /// The status and headers.
     pub head: Head,
+    /// How the end of the body is marked; a response without a body counts as one of length 0.
+    pub framing: Framing,
     body: Incoming,
     _driver: Driver,
 }
@@ -133,5 +163,6 @@
     let response = sender.send_request(request).await;
     let response = response.map_err(|error| Error::Broken(error.to_string()))?;
     let (head, body) = response.into_parts();
-    Ok(Response { head, body, _driver: driver })
+    let framing = Framing::new(&head, body.size_hint().exact());
+    Ok(Response { head, framing, body, _driver: driver })
 }
