End events at any blank line, and pass comments between events on at once

What callers saw: a stream whose lines end in CRLF or CR was held back to its end, because only LF LF ended an event; a comment sent to keep the connection alive was held back until the next event; one byte of a chunk that is not UTF-8 hid the ids of all events in it, so a resumed stream could repeat them; a byte-order mark of the second engine of a resumed stream was forwarded in its middle.

The splitter now finds lines by the published format.

--- a/crates/damaskhatch/src/relay/events.rs
+++ b/crates/damaskhatch/src/relay/events.rs
@@ -1,13 +1,18 @@
 //! Splits a byte stream of server-sent events into complete events.
 //!
 //! An engine's response may break off in the middle of an event. Only complete events are
-//! forwarded to the caller, so that another engine can resume after the last of them.
+//! forwarded to the caller, so that another engine can resume after the last of them, and so that
+//! a body that stops inside an event is recognized. Lines end in LF, CRLF or CR, and a blank line
+//! ends an event, as the format's publisher, the WHATWG, defines. See
+//! [docs/DESIGN.md](../../../../docs/DESIGN.md#ends-of-responses).
+
+use std::ops::Range;
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 
-/// The blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
+/// The encoding of U+FEFF, which a stream may begin with.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
 /// resumed stream is out of order: got event {found} after event {last}
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -20,10 +25,75 @@
 
 impl std::error::Error for Gap {}
 
+/// What follows in the bytes received.
+enum Step {
+    /// The end of a line whose content is at this range.
+    Line(Range<usize>),
+    /// The LF of a CRLF, whose CR has ended the line.
+    LineFeed,
+}
+
+/// Finds the ends of lines in the bytes of one response.
+#[derive(Debug, Default)]
+struct Lines {
+    /// The bytes that have not been returned.
+    pending: BytesMut,
+    /// Up to where `pending` has been searched for the end of a line.
+    searched: usize,
+    /// Where the line begins whose end has not been found.
+    start: usize,
+    /// The number of lines that have ended.
+    ended: usize,
+    /// Whether the last line ended in CR, to which a following LF belongs.
+    is_after_cr: bool,
+    /// Whether any line has ended in CRLF.
+    has_crlf: bool,
+}
+
+impl Lines {
+    /// Moves past the next end of a line; `None` if it has not been received.
+    fn next(&mut self) -> Option<Step> {
+        let next = *self.pending.get(self.searched)?;
+        if std::mem::take(&mut self.is_after_cr) && next == b'\n' {
+            self.has_crlf = true;
+            self.searched += 1;
+            self.start = self.searched;
+            return Some(Step::LineFeed);
+        }
+        let tail = &self.pending[self.searched..];
+        let Some(length) = tail.iter().position(|byte| matches!(byte, b'\n' | b'\r')) else {
+            self.searched = self.pending.len();
+            return None;
+        };
+        let end = self.searched + length;
+        let line = self.start..end;
+        self.is_after_cr = self.pending[end] == b'\r';
+        self.searched = end + 1;
+        self.start = self.searched;
+        self.ended += 1;
+        Some(Step::Line(line))
+    }
+
+    /// Removes and returns the first `length` bytes, which end at the end of a line.
+    fn split_to(&mut self, length: usize) -> Bytes {
+        self.searched -= length;
+        self.start -= length;
+        self.pending.split_to(length).freeze()
+    }
+}
+
 /// Buffers bytes until they complete an event.
+///
+/// Comments between two events are passed on at once, because engines send them to keep a
+/// connection alive.
 #[derive(Debug, Default)]
 pub struct Splitter {
-    pending: BytesMut,
+    lines: Lines,
+    /// Whether a field of an event has been received, but not the blank line that ends it.
+    is_inside: bool,
+    /// The id of the event that has not ended.
+    open_id: Option<u64>,
+    has_event: bool,
     last_id: Option<u64>,
     /// Whether the next event is the first from another engine.
     is_resumed: bool,
@@ -36,35 +106,76 @@
     ///
     /// Fails if the first event after [`Self::resume`] has an id that is not the next.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Gap> {
-        // The blank line may be split between two reads.
-        let from = self.pending.len().saturating_sub(EVENT_END.len() - 1);
-        self.pending.extend_from_slice(bytes);
-        let tail = &self.pending[from..];
-        let Some(at) = tail.windows(EVENT_END.len()).rposition(|window| window == EVENT_END) else {
-            return Ok(Bytes::new());
-        };
-        let complete = self.pending.split_to(from + at + EVENT_END.len()).freeze();
-        if std::mem::take(&mut self.is_resumed) {
-            self.check_next(&complete)?;
+        self.lines.pending.extend_from_slice(bytes);
+        // The length of the prefix that does not end inside an event.
+        let mut complete = 0;
+        while let Some(step) = self.lines.next() {
+            match step {
+                Step::Line(line) => {
+                    let line = self.without_mark(line);
+                    self.end_line(line)?;
+                    if !self.is_inside {
+                        complete = self.lines.searched;
+                    }
+                }
+                Step::LineFeed if !self.is_inside => complete = self.lines.searched,
+                Step::LineFeed => {}
+            }
         }
-        self.last_id = event_ids(&complete).last().or(self.last_id);
-        Ok(complete)
+        Ok(self.lines.split_to(complete))
     }
 
-    /// Checks that the ids of `events` continue after the last complete event.
-    fn check_next(&self, events: &[u8]) -> Result<(), Gap> {
-        match (self.last_id, event_ids(events).next()) {
-            (Some(last), Some(found)) if found != last + 1 => Err(Gap { last, found }),
-            _ => Ok(()),
+    /// Leaves a byte-order mark out of the first line of a response.
+    ///
+    /// In the middle of a resumed stream it would be part of a field's name, so it is removed.
+    fn without_mark(&mut self, line: Range<usize>) -> Range<usize> {
+        let length = BYTE_ORDER_MARK.len();
+        if self.lines.ended > 1 || !self.lines.pending[line.clone()].starts_with(BYTE_ORDER_MARK) {
+            return line;
+        }
+        if !self.is_resumed {
+            return line.start + length..line.end;
+        }
+        self.lines.split_to(length);
+        line.start..line.end - length
+    }
+
+    /// Interprets a line: a field, a comment, or the blank line that ends an event.
+    fn end_line(&mut self, line: Range<usize>) -> Result<(), Gap> {
+        match &self.lines.pending[line] {
+            [] => self.end_event()?,
+            [b':', ..] => {}
+            field => {
+                self.is_inside = true;
+                self.open_id = event_id(field).or(self.open_id);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the event that a blank line completes, if there is one.
+    fn end_event(&mut self) -> Result<(), Gap> {
+        if !std::mem::take(&mut self.is_inside) {
+            return Ok(());
         }
+        let id = self.open_id.take();
+        if std::mem::take(&mut self.is_resumed)
+            && let (Some(last), Some(found)) = (self.last_id, id)
+            && found != last + 1
+        {
+            return Err(Gap { last, found });
+        }
+        self.has_event = true;
+        self.last_id = id.or(self.last_id);
+        Ok(())
     }
 
     /// Discards an incomplete event before another engine's bytes are added, and returns the id
     /// of the last complete event.
     pub fn resume(&mut self) -> Option<u64> {
-        self.pending.clear();
-        self.is_resumed = true;
-        self.last_id
+        let Self { has_event, last_id, .. } = *self;
+        *self = Self { has_event, last_id, is_resumed: true, ..Self::default() };
+        last_id
     }
 
     /// The id of the last complete event; `None` if no event had one.
@@ -72,14 +183,31 @@
         self.last_id
     }
 
+    /// Whether any event was complete.
+    pub const fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// The number of bytes received after the last complete event or comment.
+    pub fn rest_bytes(&self) -> usize {
+        self.lines.pending.len()
+    }
+
     /// Removes and returns the bytes that follow the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
-        self.pending.split().freeze()
+        (self.lines.searched, self.lines.start) = (0, 0);
+        self.lines.pending.split().freeze()
+    }
+
+    /// Whether a body that ends here was cut off: inside an event, a line or a line's end.
+    pub fn is_cut(&self) -> bool {
+        // A lone CR ends a line too, but not in a stream whose lines end in CRLF.
+        self.rest_bytes() > 0 || (self.lines.is_after_cr && self.lines.has_crlf)
     }
 }
 
-/// The ids of `events`, in their order.
-fn event_ids(events: &[u8]) -> impl Iterator<Item = u64> {
-    let lines = std::str::from_utf8(events).unwrap_or_default().lines();
-    lines.filter_map(|line| line.strip_prefix("id:")?.trim().parse().ok())
+/// The id that a line gives its event.
+fn event_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -39,8 +39,6 @@
 struct State {
     parts: Parts,
     splitter: Splitter,
-    /// Whether no complete event has been received yet.
-    is_awaiting_first: bool,
     /// Whether the end of the stream has been logged and counted.
     is_ended: bool,
     /// When the current engine last sent bytes.
@@ -56,7 +54,6 @@
     let state = State {
         parts,
         splitter: Splitter::default(),
-        is_awaiting_first: true,
         is_ended: false,
         last_byte_at: Instant::now(),
         rest_bytes: 0,
@@ -111,11 +108,12 @@
 
     /// Returns the events that `bytes` completes, and records the time to the first of them.
     fn split_events(&mut self, bytes: &[u8]) -> io::Result<Bytes> {
+        let had_event = self.splitter.has_event();
         let complete = self.splitter.push(bytes).map_err(|gap| {
             self.end("event_out_of_order");
             io::Error::other(gap)
         })?;
-        if !complete.is_empty() && std::mem::take(&mut self.is_awaiting_first) {
+        if !had_event && self.splitter.has_event() {
             let took = self.parts.routed.arrived_at.elapsed();
             self.parts.entry.shared.metrics.first_token.observe(took.as_secs_f64());
         }
@@ -137,7 +135,7 @@
             progress.tokens_done = last as u32 * running.event_tokens;
         }
         // Events without ids leave no way to name the one after which to resume.
-        let has_resume_point = self.is_awaiting_first || last.is_some();
+        let has_resume_point = !self.splitter.has_event() || last.is_some();
         let is_resumable = has_resume_point && routed.route.repeat == Repeat::ResumableStream;
         if !is_resumable || !try_acquire_retry(entry, routed, progress.history) {
             self.end("upstream_broke_off");
