Don't end a stream as complete that stops inside an event

Cause: the end of a stream was judged by its framing alone. A body with neither length nor chunks ends with its connection, so a crash that closes it in order is no error. The rest after the last event was then forwarded, and the following read ended the stream as complete. It was also evidence of success: strikes cleared, a length observed, no resumption. The class: an end inferred from the transport, although the content shows more.

Change: one verdict on the end of a body (policy::ending), from framing and content, which everything downstream follows. A body that stops inside an event, however framed, or a close-delimited one without any event, is truncated: resumed where the route allows it, otherwise the caller's connection is closed without the last chunk. Of a close-delimited body that ends after an event nothing is concluded. A success of another type passes unchanged.

--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -34,6 +34,8 @@
     pub wasted_prefill: IntCounter,
     /// Attempts after the first, by the failure of the previous one.
     pub retries: IntCounterVec,
+    /// Bodies of upstreams' responses that ended without an error, by framing and verdict.
+    pub bodies: IntCounterVec,
     /// Crashes of upstreams under requests, observed by this host.
     pub strikes: IntCounter,
     /// Fingerprints of requests that are refused because they crashed upstreams.
@@ -89,6 +91,12 @@
             tokens: counter(r, "tokens_total", "Tokens streamed."),
             wasted_prefill: counter(r, "wasted_prefill_tokens_total", "Prefill tokens unused."),
             retries: counters(r, "retries_total", "Attempts after the first.", &["reason"]),
+            bodies: counters(
+                r,
+                "bodies_ended_total",
+                "Ends of response bodies.",
+                &["framing", "verdict"],
+            ),
             strikes: counter(r, "strikes_total", "Crashes of upstreams under requests."),
             quarantined: gauge(r, "quarantined", "Requests refused for crashing upstreams."),
             fallbacks: counter(r, "fallbacks_total", "Pairs chosen without a scheduler."),
--- a/crates/damaskhatch/src/relay/events.rs
+++ b/crates/damaskhatch/src/relay/events.rs
@@ -9,6 +9,7 @@
 use std::ops::Range;
 
 use bytes::{Bytes, BytesMut};
+use damaskhatch_exchange::{HeaderMap, header};
 use displaydoc::Display;
 
 /// The encoding of U+FEFF, which a stream may begin with.
@@ -193,12 +194,6 @@
         self.lines.pending.len()
     }
 
-    /// Removes and returns the bytes that follow the last complete event.
-    pub fn take_rest(&mut self) -> Bytes {
-        (self.lines.searched, self.lines.start) = (0, 0);
-        self.lines.pending.split().freeze()
-    }
-
     /// Whether a body that ends here was cut off: inside an event, a line or a line's end.
     pub fn is_cut(&self) -> bool {
         // A lone CR ends a line too, but not in a stream whose lines end in CRLF.
@@ -206,6 +201,20 @@
     }
 }
 
+/// Whether the body of a response is a stream of events, by its head.
+///
+/// Engines may leave the type out, because the route implies it.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = |name| headers.get(name).map(|value| value.to_str().unwrap_or("").trim());
+    let is_type = value(header::CONTENT_TYPE).is_none_or(|value| {
+        let essence = value.split(';').next().unwrap_or("").trim();
+        essence.eq_ignore_ascii_case("text/event-stream")
+    });
+    let is_plain = value(header::CONTENT_ENCODING)
+        .is_none_or(|value| value.is_empty() || value.eq_ignore_ascii_case("identity"));
+    is_type && is_plain
+}
+
 /// The id that a line gives its event.
 fn event_id(line: &[u8]) -> Option<u64> {
     let value = line.strip_prefix(b"id:")?;
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -2,21 +2,24 @@
 //!
 //! If the engine's response breaks off and the route allows it, the stream is resumed at
 //! another engine after the last complete event, and the caller only sees a pause.
-//! Otherwise the caller's connection is closed without the end of the body.
+//! Otherwise the caller's connection is closed without the end of the body. A body breaks off if
+//! its connection fails or if its end is [`Verdict::Truncated`].
 
 use std::io;
 
 use bytes::Bytes;
-use damaskhatch_exchange as exchange;
+use damaskhatch_exchange::Framing;
 use damaskhatch_policy::attempt::Outcome;
+use damaskhatch_policy::ending::{Content, Verdict};
 use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::routing::Repeat;
 use futures_util::stream::{Stream, unfold};
+use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
 use super::crash::{Broken, examine, examine_if_silent};
-use super::events::Splitter;
+use super::events::{Splitter, is_event_stream};
 use super::pair::{Progress, Running, start};
 use super::request::Routed;
 use crate::entry::Entry;
@@ -39,6 +42,10 @@
 struct State {
     parts: Parts,
     splitter: Splitter,
+    /// Whether the response consists of events; any other is forwarded as it arrives.
+    has_events: bool,
+    /// Whether bytes of a response without events have been forwarded.
+    has_opaque_bytes: bool,
     /// Whether the end of the stream has been logged and counted.
     is_ended: bool,
     /// When the current engine last sent bytes.
@@ -52,6 +59,8 @@
 /// An error item makes the server close the caller's connection without the end of the body.
 pub fn stream(parts: Parts) -> impl Stream<Item = io::Result<Bytes>> {
     let state = State {
+        has_events: is_event_stream(&parts.running.response.head.headers),
+        has_opaque_bytes: false,
         parts,
         splitter: Splitter::default(),
         is_ended: false,
@@ -63,7 +72,11 @@
         match state.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(state))),
             Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
+            Err(error) => {
+                // The server sends the events before the failure while it waits for the next item.
+                yield_now().await;
+                Some((Err(error), None))
+            }
         }
     })
 }
@@ -84,32 +97,69 @@
             match read {
                 Some(Ok(bytes)) => {
                     self.last_byte_at = Instant::now();
-                    let complete = self.split_events(&bytes)?;
+                    let complete = self.split_events(bytes)?;
                     if !complete.is_empty() {
                         return Ok(Some(complete));
                     }
                 }
-                Some(Err(error)) => self.resume(error).await?,
-                None => {
-                    let rest = self.splitter.take_rest();
-                    self.rest_bytes += rest.len();
-                    if rest.is_empty() {
-                        self.record_length();
-                        let Parts { entry, routed, running, .. } = &self.parts;
-                        entry.report_served(routed.fingerprint, running.reservation.upstream.tag);
-                        self.end("complete");
+                Some(Err(error)) => self.resume(error.to_string()).await?,
+                None => match self.judge_end() {
+                    Verdict::Truncated => {
+                        let framing = self.parts.running.response.framing;
+                        let rest = self.splitter.rest_bytes();
+                        let reason = format!(
+                            "body broke off: framing {framing}, {rest} bytes of an incomplete event"
+                        );
+                        self.resume(reason).await?;
+                    }
+                    verdict => {
+                        self.record_end(verdict);
                         return Ok(None);
                     }
-                    return Ok(Some(rest));
-                }
+                },
             }
         }
     }
 
+    /// Judges and counts the end of a body that ended without an error.
+    fn judge_end(&self) -> Verdict {
+        let Parts { entry, routed, running, .. } = &self.parts;
+        let framing = running.response.framing;
+        // The header names the last event that the caller has, also after an earlier resumption.
+        let is_resumed = routed.headers.contains_key(entry.header_names().last_event);
+        let content = if !self.has_events {
+            Content::Opaque
+        } else if self.splitter.is_cut() {
+            Content::InsideEvent
+        } else if self.splitter.has_event() || is_resumed {
+            Content::AfterEvent
+        } else {
+            Content::BeforeEvents
+        };
+        let verdict = Verdict::of_body(framing != Framing::Close, content);
+        let labels = [framing.to_string(), verdict.name().to_owned()];
+        entry.shared.metrics.bodies.with_label_values(&labels).inc();
+        verdict
+    }
+
+    /// Ends a stream that has not broken off. Only a complete one is evidence of anything.
+    fn record_end(&mut self, verdict: Verdict) {
+        if verdict == Verdict::Complete {
+            self.record_length();
+            let Parts { entry, routed, running, .. } = &self.parts;
+            entry.report_served(routed.fingerprint, running.reservation.upstream.tag);
+        }
+        self.end(verdict.name());
+    }
+
     /// Returns the events that `bytes` completes, and records the time to the first of them.
-    fn split_events(&mut self, bytes: &[u8]) -> io::Result<Bytes> {
+    fn split_events(&mut self, bytes: Bytes) -> io::Result<Bytes> {
+        if !self.has_events {
+            self.has_opaque_bytes = true;
+            return Ok(bytes);
+        }
         let had_event = self.splitter.has_event();
-        let complete = self.splitter.push(bytes).map_err(|gap| {
+        let complete = self.splitter.push(&bytes).map_err(|gap| {
             self.end("event_out_of_order");
             io::Error::other(gap)
         })?;
@@ -120,11 +170,13 @@
         Ok(complete)
     }
 
-    /// Resumes at another engine after the last complete event, or ends the stream with `error`.
-    async fn resume(&mut self, error: exchange::Error) -> io::Result<()> {
+    /// Resumes at another engine after the last complete event, or fails for `reason`.
+    async fn resume(&mut self, reason: String) -> io::Result<()> {
+        self.rest_bytes = self.splitter.rest_bytes();
         let last = self.splitter.resume();
         let Parts { entry, routed, progress, running } = &mut self.parts;
-        let failure = Failure { outcome: Outcome::Unknown, ..Failure::from_exchange(&error) };
+        let error = io::Error::other(reason.clone());
+        let failure = Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true };
         let upstream = &running.reservation.upstream;
         let (sent_at, history) = (running.sent_at, progress.history);
         let attempt = Attempt { upstream, sent_at, phase: "stream", history };
@@ -135,21 +187,22 @@
             progress.tokens_done = last as u32 * running.event_tokens;
         }
         // Events without ids leave no way to name the one after which to resume.
-        let has_resume_point = !self.splitter.has_event() || last.is_some();
+        let is_untouched = !self.splitter.has_event() && !self.has_opaque_bytes;
+        let has_resume_point = is_untouched || last.is_some();
         let is_resumable = has_resume_point && routed.route.repeat == Repeat::ResumableStream;
         if !is_resumable || !try_acquire_retry(entry, routed, progress.history) {
             self.end("upstream_broke_off");
-            return Err(io::Error::other(error));
+            return Err(error);
         }
         match start(entry, routed, progress).await {
-            Ok(next) if next.response.head.status.is_success() => {
+            Ok(next) if can_continue(&next, self.has_events) => {
                 *running = next;
                 self.last_byte_at = Instant::now();
                 Ok(())
             }
             _ => {
                 self.end("not_resumed");
-                Err(io::Error::other(error))
+                Err(error)
             }
         }
     }
@@ -190,6 +243,12 @@
     }
 }
 
+/// Whether a response can follow in a body that consists of events, or does not.
+fn can_continue(next: &Running, has_events: bool) -> bool {
+    let head = &next.response.head;
+    head.status.is_success() && is_event_stream(&head.headers) == has_events
+}
+
 impl Drop for State {
     fn drop(&mut self) {
         if !self.is_ended {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -18,9 +18,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use http::header;
 pub use http::response::Parts as Head;
-pub use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
+pub use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
 ///
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backlog;
 pub mod bucket;
 pub mod config;
+pub mod ending;
 pub mod error;
 pub mod freshness;
 pub mod id;
