Recognize a crash at the end of a close-delimited response

What callers would see: an engine that crashes between two events of a stream with neither length nor chunks, or a plain server that crashes inside such a body, closes the connection in order; the caller got the rest as complete, the request no strike, and a repeat on the own interface the truncated response.

Change: the verdict of such a body is unverified until one connection shows whether the upstream still listens. Refused, and not leaving: truncated. Both faces; failure responses of engines too, which were also logged as answered before they were read. An unverified response no longer clears strikes or counts as a success of its upstream.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -17,7 +17,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use damaskhatch_exchange::Framing;
 use damaskhatch_policy::backlog::Backlog;
+use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::length::Forecast;
 use damaskhatch_policy::outlier::Outliers;
 use damaskhatch_policy::placement::Loads;
@@ -165,6 +167,12 @@
         }
     }
 
+    /// Counts the end of a response's body.
+    pub fn count_end(&self, framing: Framing, verdict: Verdict) {
+        let labels = [framing.to_string(), verdict.name().to_owned()];
+        self.shared.metrics.bodies.with_label_values(&labels).inc();
+    }
+
     /// Locks the outlier detection for the upstreams of routed services.
     pub fn outliers(&self) -> MutexGuard<'_, Outliers> {
         self.outliers.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -11,6 +11,7 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use damaskhatch_exchange::HeaderMap;
 use damaskhatch_policy::config::Snapshot;
+use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, MAX_ATTEMPTS};
 use damaskhatch_policy::route;
@@ -172,12 +173,17 @@
         let _entered = entry.in_flight.enter(upstream);
         let address = snapshot.upstream(upstream).map(|u| snapshot.upstreams[u].address.clone());
         let sent_at = Instant::now();
-        let called = plain::call(&address.unwrap_or_default(), &work.call, work.request).await;
+        let address = address.unwrap_or_default();
+        let is_leaving =
+            || entry.shared.hosts().leaving_upstreams(Instant::now()).contains(&upstream);
+        let called = plain::call(&address, &work.call, work.request, is_leaving).await;
         let error = match called {
-            Ok(response) => {
+            Ok((response, verdict)) => {
                 spend_all(&mut charged);
                 entry.shared.metrics.requests.with_label_values(&["plain", "answered"]).inc();
-                entry.report_served(work.fingerprint, upstream);
+                if verdict == Verdict::Complete {
+                    entry.report_served(work.fingerprint, upstream);
+                }
                 return Ok(response);
             }
             Err(error) => error,
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use damaskhatch_exchange::{self as exchange, Response};
+use damaskhatch_exchange::{self as exchange, Framing, Head, Response};
 use damaskhatch_policy::attempt::{History, Outcome};
+use damaskhatch_policy::ending::{Content, Verdict};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
@@ -12,7 +13,7 @@
 use crate::entry::access::identify;
 use crate::entry::refusal::Refusal;
 use crate::headers;
-use crate::relay::crash::{Broken, Pending, examine};
+use crate::relay::crash::{Broken, Pending, examine, judge_close};
 use crate::relay::dialect::Call;
 use crate::relay::request::Routed;
 
@@ -93,6 +94,54 @@
     Ok(response)
 }
 
+/// A response whose body has been read to its end.
+#[derive(Debug)]
+pub struct Complete {
+    /// The status and headers.
+    pub head: Head,
+    /// How the end of the body was marked.
+    pub framing: Framing,
+    /// The body.
+    pub body: Bytes,
+    /// Whether the body is known to be complete; never [`Verdict::Truncated`].
+    pub verdict: Verdict,
+}
+
+/// Reads the whole body of a response, of at most `max_bytes`.
+///
+/// # Errors
+///
+/// Fails if the body breaks off, which includes that its upstream has crashed at its end, or does
+/// not end within the request's time limit.
+pub async fn read_complete(
+    entry: &Entry,
+    routed: &Routed,
+    attempt: Attempt<'_>,
+    mut response: Response,
+    max_bytes: usize,
+) -> Result<Complete, Failure> {
+    let read = tokio::time::timeout_at(routed.limit, response.read_body(max_bytes)).await;
+    let failed = |error: exchange::Error| Failure {
+        outcome: Outcome::Unknown,
+        ..Failure::from_exchange(&error)
+    };
+    let body = read.map_err(|_elapsed| Failure::timed_out())?.map_err(failed)?;
+    let framing = response.framing;
+    let mut verdict = Verdict::of_body(framing != Framing::Close, Content::Opaque);
+    if verdict == Verdict::Unverified {
+        verdict = judge_close(entry, Broken::new(routed, attempt.upstream, attempt.sent_at)).await;
+    }
+    entry.count_end(framing, verdict);
+    if verdict == Verdict::Truncated {
+        let reason = format!(
+            "body of {} bytes ended with its connection, and the upstream has crashed",
+            body.len()
+        );
+        return Err(Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true });
+    }
+    Ok(Complete { head: response.head, framing, body, verdict })
+}
+
 /// Rejects a response that declines the request or carries the id of another one.
 fn check_response(entry: &Entry, routed: &Routed, response: &Response) -> Result<(), Failure> {
     let names = &entry.shared.deployment.dialect.headers;
--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use damaskhatch_policy::ending::{Upstream, Verdict};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 use damaskhatch_policy::strike::{Crash, Strike};
@@ -153,6 +154,31 @@
     });
 }
 
+/// Judges a body that ended with its connection and whose content does not show it to be cut off.
+///
+/// A process that crashes closes its connections in order, unless it has not read all that it was
+/// sent. Costs one connection, which is opened for such bodies only.
+pub async fn judge_close(entry: &Entry, broken: Broken) -> Verdict {
+    let evidence = find_evidence(entry, &broken.upstream).await;
+    let upstream = match evidence {
+        Evidence::Accepted => Upstream::Listening,
+        Evidence::Refused => Upstream::Gone,
+        Evidence::Closed | Evidence::Silent | Evidence::Leaving => Upstream::Unknown,
+    };
+    let verdict = Verdict::Unverified.with_upstream(upstream);
+    let (instance, verdict_name) = (&broken.upstream.instance, verdict.name());
+    entry.shared.journal.record(
+        &broken.label,
+        format_args!(
+            "event=end_judged upstream={instance} evidence={evidence:?} verdict={verdict_name}"
+        ),
+    );
+    if matches!(evidence, Evidence::Closed | Evidence::Silent) {
+        actix_rt::spawn(examine(entry.clone(), broken));
+    }
+    verdict
+}
+
 /// Looks for evidence of a crash, and reports a strike if it is found.
 async fn conclude(entry: &Entry, broken: &Broken) -> Evidence {
     let Broken { label, fingerprint, upstream, .. } = broken;
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -3,15 +3,18 @@
 use std::collections::HashSet;
 
 use actix_web::HttpResponse;
-use bytes::Bytes;
-use damaskhatch_exchange::{Framing, Head};
+use damaskhatch_exchange::Head;
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::backlog::Report;
+use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::placement::{self, Load};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
-use super::attempt::{Attempt, Failure, check_admission, record_failure, send, try_acquire_retry};
+use super::attempt::{
+    Attempt, Complete, Failure, check_admission, read_complete, record_failure, send,
+    try_acquire_retry,
+};
 use super::request::Routed;
 use super::response::build_response;
 use crate::entry::Entry;
@@ -24,14 +27,6 @@
 /// The maximum random addition to that delay, so that retries do not coincide.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(300);
 
-/// A complete response of an upstream.
-#[derive(Debug)]
-struct Complete {
-    head: Head,
-    framing: Framing,
-    body: Bytes,
-}
-
 /// Runs a request and returns the upstream's complete response.
 pub async fn run(entry: &Entry, mut routed: Routed) -> Result<HttpResponse, Refusal> {
     let mut history = History::default();
@@ -53,14 +48,15 @@
         let load = Load { requests: 1, ..Load::default() };
         let guard = entry.shared.loads.track(upstream.tag, load);
         let sent_at = Instant::now();
-        let result = attempt(entry, &routed, &upstream).await;
+        let attempt = Attempt { upstream: &upstream, sent_at, phase: "plain", history };
+        let result = run_attempt(entry, &routed, attempt).await;
         drop(guard);
         let outcome = result.as_ref().map_or_else(|failure| failure.outcome, |_| Outcome::Ran);
         history.record(outcome);
         if outcome != Outcome::NotRun {
             routed.keep_charge();
         }
-        if outcome == Outcome::Ran {
+        if matches!(&result, Ok(response) if response.verdict == Verdict::Complete) {
             entry.report_served(routed.fingerprint, upstream.tag);
         }
         match result {
@@ -69,8 +65,7 @@
             }
             Ok(response) => failed = Some(response),
             Err(failure) => {
-                let upstream = &upstream;
-                let attempt = Attempt { upstream, sent_at, phase: "plain", history };
+                let attempt = Attempt { history, ..attempt };
                 record_failure(entry, &routed, attempt, &failure).await;
             }
         }
@@ -112,22 +107,14 @@
 }
 
 /// Sends the request to one upstream and reads the complete response.
-async fn attempt(
+async fn run_attempt(
     entry: &Entry,
     routed: &Routed,
-    upstream: &registry::Entry,
+    attempt: Attempt<'_>,
 ) -> Result<Complete, Failure> {
-    let sent = Instant::now();
-    let mut response = send(entry, routed, upstream, &[]).await?;
-    observe_load(entry, routed, &response.head, sent);
-    let read = tokio::time::timeout_at(routed.limit, response.read_body(MAX_RESPONSE_BYTES)).await;
-    match read {
-        Ok(Ok(body)) => Ok(Complete { head: response.head, framing: response.framing, body }),
-        Ok(Err(error)) => {
-            Err(Failure { outcome: Outcome::Unknown, ..Failure::from_exchange(&error) })
-        }
-        Err(_elapsed) => Err(Failure::timed_out()),
-    }
+    let response = send(entry, routed, attempt.upstream, &[]).await?;
+    observe_load(entry, routed, &response.head, attempt.sent_at);
+    read_complete(entry, routed, attempt, response, MAX_RESPONSE_BYTES).await
 }
 
 /// Updates the service's backlog with the load that an upstream reports in a response.
@@ -180,8 +167,10 @@
     upstream: &registry::Entry,
     response: Complete,
 ) -> HttpResponse {
-    let Complete { head, framing, body } = response;
-    entry.outliers().record_success(upstream.tag);
+    let Complete { head, framing, body, verdict } = response;
+    if verdict == Verdict::Complete {
+        entry.outliers().record_success(upstream.tag);
+    }
     let took = routed.arrived_at.elapsed().as_millis();
     entry.shared.journal.record(
         &routed.label,
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -6,10 +6,13 @@
 use actix_web::HttpResponse;
 use damaskhatch_exchange::Response;
 use damaskhatch_policy::attempt::Outcome;
+use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
 
-use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
-use super::pair::{Progress, start};
+use super::attempt::{
+    Attempt, Complete, Failure, read_complete, record_failure, try_acquire_retry,
+};
+use super::pair::{Progress, Running, start};
 use super::request::Routed;
 use super::response::build_response;
 use super::stream::{Parts, stream};
@@ -34,17 +37,16 @@
             let parts = Parts { entry: entry.clone(), routed, progress, running };
             return Ok(response.streaming(stream(parts)));
         }
+        let Running { reservation, response, sent_at, .. } = running;
+        let upstream = &reservation.upstream;
+        let attempt = Attempt { upstream, sent_at, phase: "decode", history: progress.history };
         let may_retry =
             status.is_server_error() && try_acquire_retry(entry, &routed, progress.history);
         if !may_retry {
-            entry.report_served(routed.fingerprint, running.reservation.upstream.tag);
-            return forward_failure(entry, &routed, running.response).await;
+            return forward_failure(entry, &routed, attempt, response).await;
         }
         let reason = format!("engine responded with status {status}");
         let failure = Failure { outcome: Outcome::Ran, reason, is_upstream_at_fault: false };
-        let upstream = &running.reservation.upstream;
-        let (sent_at, history) = (running.sent_at, progress.history);
-        let attempt = Attempt { upstream, sent_at, phase: "decode", history };
         record_failure(entry, &routed, attempt, &failure).await;
         progress.excluded.insert(upstream.tag);
     }
@@ -54,14 +56,25 @@
 async fn forward_failure(
     entry: &Entry,
     routed: &Routed,
-    mut response: Response,
+    attempt: Attempt<'_>,
+    response: Response,
 ) -> Result<HttpResponse, Refusal> {
-    let status = response.head.status.as_u16();
-    let read = tokio::time::timeout_at(routed.limit, response.read_body(MAX_FAILURE_BYTES)).await;
-    entry.shared.journal.record(&routed.label, format_args!("event=answered status={status}"));
-    match read {
-        Ok(Ok(body)) => Ok(build_response(&response.head).body(body)),
-        Ok(Err(_broken)) => Err(Refusal::from(Kind::UpstreamFailed).with_may_have_run(true)),
-        Err(_elapsed) => Err(Refusal::from(Kind::UpstreamTimeout).with_may_have_run(true)),
+    match read_complete(entry, routed, attempt, response, MAX_FAILURE_BYTES).await {
+        Ok(Complete { head, framing, body, verdict }) => {
+            if verdict == Verdict::Complete {
+                entry.report_served(routed.fingerprint, attempt.upstream.tag);
+            }
+            let status = head.status.as_u16();
+            entry.shared.journal.record(
+                &routed.label,
+                format_args!("event=answered status={status} framing={framing}"),
+            );
+            Ok(build_response(&head).body(body))
+        }
+        Err(failure) => {
+            record_failure(entry, routed, attempt, &failure).await;
+            let kind = attempt.history.failure_kind(Instant::now() >= routed.limit);
+            Err(Refusal::from(kind).with_may_have_run(true))
+        }
     }
 }
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -3,7 +3,7 @@
 //! If the engine's response breaks off and the route allows it, the stream is resumed at
 //! another engine after the last complete event, and the caller only sees a pause.
 //! Otherwise the caller's connection is closed without the end of the body. A body breaks off if
-//! its connection fails or if its end is [`Verdict::Truncated`].
+//! its connection fails or if its end is judged to be [`Verdict::Truncated`].
 
 use std::io;
 
@@ -18,7 +18,7 @@
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
-use super::crash::{Broken, examine, examine_if_silent};
+use super::crash::{Broken, examine, examine_if_silent, judge_close};
 use super::events::{Splitter, is_event_stream};
 use super::pair::{Progress, Running, start};
 use super::request::Routed;
@@ -103,12 +103,12 @@
                     }
                 }
                 Some(Err(error)) => self.resume(error.to_string()).await?,
-                None => match self.judge_end() {
+                None => match self.judge_end().await {
                     Verdict::Truncated => {
                         let framing = self.parts.running.response.framing;
                         let rest = self.splitter.rest_bytes();
                         let reason = format!(
-                            "body broke off: framing {framing}, {rest} bytes of an incomplete event"
+                            "body broke off: framing {framing}, {rest} bytes after the last event"
                         );
                         self.resume(reason).await?;
                     }
@@ -122,7 +122,7 @@
     }
 
     /// Judges and counts the end of a body that ended without an error.
-    fn judge_end(&self) -> Verdict {
+    async fn judge_end(&self) -> Verdict {
         let Parts { entry, routed, running, .. } = &self.parts;
         let framing = running.response.framing;
         // The header names the last event that the caller has, also after an earlier resumption.
@@ -136,9 +136,11 @@
         } else {
             Content::BeforeEvents
         };
-        let verdict = Verdict::of_body(framing != Framing::Close, content);
-        let labels = [framing.to_string(), verdict.name().to_owned()];
-        entry.shared.metrics.bodies.with_label_values(&labels).inc();
+        let mut verdict = Verdict::of_body(framing != Framing::Close, content);
+        if verdict == Verdict::Unverified {
+            verdict = judge_close(entry, self.broken()).await;
+        }
+        entry.count_end(framing, verdict);
         verdict
     }
 
@@ -197,6 +199,7 @@
         match start(entry, routed, progress).await {
             Ok(next) if can_continue(&next, self.has_events) => {
                 *running = next;
+                self.rest_bytes = 0;
                 self.last_byte_at = Instant::now();
                 Ok(())
             }
@@ -209,9 +212,13 @@
 
     /// Examines in the background whether the engine of a stream at its time limit has crashed.
     fn examine_silent(&self) {
-        let Parts { entry, routed, running, .. } = &self.parts;
-        let broken = Broken::new(routed, &running.reservation.upstream, running.sent_at);
-        actix_rt::spawn(examine(entry.clone(), broken));
+        actix_rt::spawn(examine(self.parts.entry.clone(), self.broken()));
+    }
+
+    /// Describes the current attempt as one that its engine has not completed.
+    fn broken(&self) -> Broken {
+        let Parts { routed, running, .. } = &self.parts;
+        Broken::new(routed, &running.reservation.upstream, running.sent_at)
     }
 
     /// Adds a complete response's length to the service's length forecast.
@@ -252,9 +259,7 @@
 impl Drop for State {
     fn drop(&mut self) {
         if !self.is_ended {
-            let Parts { entry, routed, running, .. } = &self.parts;
-            let broken = Broken::new(routed, &running.reservation.upstream, running.sent_at);
-            examine_if_silent(entry, broken, self.last_byte_at);
+            examine_if_silent(&self.parts.entry, self.broken(), self.last_byte_at);
             self.end("caller_left");
         }
     }
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -5,7 +5,8 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
-use damaskhatch_exchange::HeaderMap;
+use damaskhatch_exchange::{Framing, HeaderMap};
+use damaskhatch_policy::ending::{Content, Upstream, Verdict};
 use damaskhatch_policy::prelude::Request;
 
 use super::engine::{Error, Result, send};
@@ -35,12 +36,29 @@
 }
 
 /// Sends the call over a new connection and reads the complete response.
-pub async fn call(address: &str, call: &Call, request: Request) -> Result<Response> {
+///
+/// Also returns whether the body is known to be complete. The call fails with [`Error::Broken`] if
+/// the body ends with its connection and the upstream then refuses connections, unless
+/// `is_leaving` returns true.
+pub async fn call(
+    address: &str,
+    call: &Call,
+    request: Request,
+    is_leaving: impl Fn() -> bool,
+) -> Result<(Response, Verdict)> {
     let exchange = async {
         let (method, target) = (call.method.as_str(), call.target.as_str());
         let sent = send(address, method, target, call.headers.clone(), call.body.clone());
         let mut response = sent.await?;
         let body = response.read_body(MAX_RESPONSE_BYTES).await?;
+        let is_framed = response.framing != Framing::Close;
+        let mut verdict = Verdict::of_body(is_framed, Content::Opaque);
+        if verdict == Verdict::Unverified && !is_leaving() {
+            verdict = verdict.with_upstream(probe(address).await);
+        }
+        if verdict == Verdict::Truncated {
+            return Err(Error::Broken);
+        }
         let status = StatusCode::from_u16(response.head.status.as_u16());
         let status = status.map_err(|_error| Error::Malformed)?;
         check_response(status, &response.head.headers, request)?;
@@ -48,7 +66,7 @@
         if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
             headers.insert(HeaderName::from_static("x-request-id"), value);
         }
-        Ok(Response { status, headers, body })
+        Ok((Response { status, headers, body }, verdict))
     };
     tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(Error::Silent))
 }
@@ -64,10 +82,19 @@
 }
 
 /// Whether a new connection is refused, so that the upstream is dead.
-///
-/// A connection that breaks does not show it: something between the two ends may break all of them.
 pub async fn is_dead(address: &str) -> bool {
+    probe(address).await == Upstream::Gone
+}
+
+/// Finds out by a request whether an upstream still serves.
+///
+/// A connection that breaks does not show that it is gone: something between the two ends may break
+/// all of them.
+async fn probe(address: &str) -> Upstream {
     let probe = send(address, "GET", "/load", HeaderMap::new(), Bytes::new());
-    let probed = tokio::time::timeout(PROBE_TIMEOUT, probe).await;
-    matches!(probed, Ok(Err(Error::Refused)))
+    match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
+        Ok(Ok(_response)) => Upstream::Listening,
+        Ok(Err(Error::Refused)) => Upstream::Gone,
+        Ok(Err(_)) | Err(_) => Upstream::Unknown,
+    }
 }
--- a/crates/damaskhatch/tests/truncated_responses.rs
+++ b/crates/damaskhatch/tests/truncated_responses.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use actix_web::http::Method;
+use bytes::Bytes;
 use damaskhatch::upstream::engine::{self, Error};
 use damaskhatch::upstream::message::Prefill;
 use damaskhatch::upstream::plain::{self, Call};
 use damaskhatch_exchange::HeaderMap;
+use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::{Request, Tag};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -30,15 +32,20 @@
     address
 }
 
-async fn call(bytes: &'static str) -> Result<Vec<u8>, Error> {
-    let call = Call {
+fn look() -> Call {
+    Call {
         method: Method::GET,
         target: "/look".to_owned(),
         headers: HeaderMap::new(),
-        body: bytes::Bytes::new(),
+        body: Bytes::new(),
         timeout: Duration::from_secs(2),
-    };
-    let response = plain::call(&start_server(bytes).await, &call, REQUEST).await?;
+    }
+}
+
+async fn call(bytes: &'static str) -> Result<Vec<u8>, Error> {
+    let call = look();
+    let (response, _verdict) =
+        plain::call(&start_server(bytes).await, &call, REQUEST, || false).await?;
     Ok(response.body.to_vec())
 }
 
@@ -62,6 +69,30 @@
     }
 }
 
+/// Guards against a response that a crash cut off, and that is kept for repeats as the complete one.
+#[actix_rt::test]
+async fn a_close_delimited_response_of_a_service_that_crashes_is_an_error() {
+    for is_leaving in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address").to_string();
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            drop(listener);
+            let mut request = [0; 4096];
+            let _read = stream.read(&mut request).await;
+            let _written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbo").await;
+        });
+        let called = plain::call(&address, &look(), REQUEST, || is_leaving).await;
+        let body = called.map(|(response, verdict)| (response.body, verdict));
+        let expected = if is_leaving {
+            Ok((Bytes::from("bo"), Verdict::Unverified))
+        } else {
+            Err(Error::Broken)
+        };
+        assert_eq!(body, expected, "is_leaving={is_leaving}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_truncated_engine_response_is_an_error() {
     let prompt = Prefill {
--- a/crates/policy/src/ending.rs
+++ b/crates/policy/src/ending.rs
@@ -18,6 +18,17 @@
     BeforeEvents,
 }
 
+/// What an upstream does after the end of its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Upstream {
+    /// It accepts connections, so it had no reason to break off.
+    Listening,
+    /// It refuses connections, although it was not to leave: it has crashed.
+    Gone,
+    /// It gives no clear sign, or was to leave after its last response.
+    Unknown,
+}
+
 /// Whether a body is complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -41,6 +52,16 @@
         }
     }
 
+    /// Refines the verdict by what the upstream does after the end of its response.
+    #[must_use]
+    pub const fn with_upstream(self, upstream: Upstream) -> Self {
+        match (self, upstream) {
+            (Self::Unverified, Upstream::Listening) => Self::Complete,
+            (Self::Unverified, Upstream::Gone) => Self::Truncated,
+            (verdict, _) => verdict,
+        }
+    }
+
     /// The name in logs and metrics.
     pub const fn name(self) -> &'static str {
         match self {
