Let HTTP/1.0 callers tell a stream that broke off from a whole one

What callers would see: an HTTP/1.0 caller got a stream in chunks, which that version does not know, and, had it been sent without, could not have told a failure from the end: its body ends with the connection.

Cause: the HTTP server chunks every streamed body, whatever the caller's version, and closes the connection in order after a failure.

Change: entry::body streams every body of routes. For HTTP/1.0 it sends no chunks, closes the connection, and resets it after a failure. For all it lets the server send the items before a failure first; no test shows that this was needed.

--- /dev/null
+++ b/crates/damaskhatch/src/entry/body.rs
@@ -0,0 +1,45 @@
+//! Streams a response's body so that its caller can tell a failure from the end.
+//!
+//! An HTTP/1.1 caller notices a failure by the missing last chunk. A body for an HTTP/1.0 caller ends
+//! with its connection, so only a reset shows the failure. See
+//! [docs/DESIGN.md](../../../../docs/DESIGN.md#ends-of-responses).
+
+use std::io;
+
+use actix_web::http::{ConnectionType, Version};
+use actix_web::web::Bytes;
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use futures_util::stream::{Stream, StreamExt};
+use tokio::task::yield_now;
+
+use super::closed::Connection;
+
+/// Builds a response with a streamed body; an error item closes the caller's connection without
+/// the end of the body.
+pub fn streaming(
+    request: &HttpRequest,
+    mut response: HttpResponseBuilder,
+    body: impl Stream<Item = io::Result<Bytes>> + 'static,
+) -> HttpResponse {
+    let has_chunks = request.version() >= Version::HTTP_11;
+    let connection = Connection::of(request).filter(|_| !has_chunks);
+    let body = body.then(move |item| {
+        let connection = connection.clone();
+        async move {
+            if item.is_err() {
+                // The server sends the items before the failure while it waits for this one.
+                yield_now().await;
+                if let Some(connection) = connection {
+                    connection.reset_on_close();
+                }
+            }
+            item
+        }
+    });
+    let mut response = response.streaming(body);
+    if !has_chunks {
+        response.head_mut().no_chunking(true);
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
--- a/crates/damaskhatch/src/entry/closed.rs
+++ b/crates/damaskhatch/src/entry/closed.rs
@@ -8,9 +8,11 @@
 use std::any::Any;
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_web::dev::Extensions;
 use actix_web::{HttpRequest, rt::net::TcpStream};
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::io::unix::AsyncFd;
 
@@ -31,6 +33,25 @@
     }
 }
 
+/// A caller's connection.
+#[derive(Debug, Clone)]
+pub struct Connection(Descriptor);
+
+impl Connection {
+    /// The connection of a request; `None` if its descriptor could not be duplicated.
+    pub fn of(request: &HttpRequest) -> Option<Self> {
+        request.conn_data::<Descriptor>().cloned().map(Self)
+    }
+
+    /// Makes the connection's close a reset, which the caller cannot take for the end of a body.
+    pub fn reset_on_close(&self) {
+        let set = SockRef::from(&self.0.0).set_linger(Some(Duration::ZERO));
+        if let Err(error) = set {
+            log::warn!("event=reset_not_set error={error}");
+        }
+    }
+}
+
 /// Watches one caller's connection for its close.
 #[derive(Debug)]
 pub struct Closed {
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -3,7 +3,7 @@
 //! If the decode engine fails the request before its stream begins, another pair is tried where
 //! the route allows it. A stream that breaks off later is resumed by [`super::stream`].
 
-use actix_web::HttpResponse;
+use actix_web::{HttpRequest, HttpResponse};
 use damaskhatch_exchange::Response;
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::ending::Verdict;
@@ -16,8 +16,8 @@
 use super::request::Routed;
 use super::response::build_response;
 use super::stream::{Parts, stream};
-use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
+use crate::entry::{Entry, body};
 
 /// The maximum length of an engine's failure response that is forwarded, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -26,16 +26,20 @@
 ///
 /// If an engine responds with a server error and the route allows another attempt, other engines
 /// are tried; any other failure response is forwarded.
-pub async fn run(entry: &Entry, mut routed: Routed) -> Result<HttpResponse, Refusal> {
+pub async fn run(
+    entry: &Entry,
+    mut routed: Routed,
+    request: &HttpRequest,
+) -> Result<HttpResponse, Refusal> {
     entry.earn_service_retry(routed.service);
     let mut progress = Progress::from_caller(entry, &routed);
     loop {
         let running = start(entry, &mut routed, &mut progress).await?;
         let status = running.response.head.status;
         if status.is_success() {
-            let mut response = build_response(&running.response.head);
+            let response = build_response(&running.response.head);
             let parts = Parts { entry: entry.clone(), routed, progress, running };
-            return Ok(response.streaming(stream(parts)));
+            return Ok(body::streaming(request, response, stream(parts)));
         }
         let Running { reservation, response, sent_at, .. } = running;
         let upstream = &reservation.upstream;
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Each request gets exactly one response: an upstream's complete response, or a [`Refusal`]
 //! of one of the fixed kinds no later than at the request's time limit. If a response breaks
-//! off after it has begun, the caller's connection is closed without the end of the body, so
-//! that a truncated response never looks complete.
+//! off after it has begun, the caller's connection is closed without the end of the body (see
+//! [`crate::entry::body`]), so that a truncated response never looks complete.
 
 pub mod attempt;
 pub mod crash;
@@ -74,7 +74,7 @@
     let snapshot = entry.shared.snapshot();
     let is_model = snapshot.services[routed.service].engines.is_some();
     if is_model && routed.tokens.is_some() {
-        generate::run(entry, routed).await
+        generate::run(entry, routed, request).await
     } else {
         forward::run(entry, routed).await
     }
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -14,7 +14,6 @@
 use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::routing::Repeat;
 use futures_util::stream::{Stream, unfold};
-use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
@@ -56,7 +55,7 @@
 
 /// Returns the body of the caller's response, made of complete events only.
 ///
-/// An error item makes the server close the caller's connection without the end of the body.
+/// An error item ends it as one that broke off.
 pub fn stream(parts: Parts) -> impl Stream<Item = io::Result<Bytes>> {
     let state = State {
         has_events: is_event_stream(&parts.running.response.head.headers),
@@ -72,11 +71,7 @@
         match state.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(state))),
             Ok(None) => None,
-            Err(error) => {
-                // The server sends the events before the failure while it waits for the next item.
-                yield_now().await;
-                Some((Err(error), None))
-            }
+            Err(error) => Some((Err(error), None)),
         }
     })
 }
