Fail a generated stream that ends without its last events

What callers would see: on the own interface, if the task that generates a stream ended early (a panic), the stream ended with its last chunk, complete by its framing. Not seen; found by asking of every streamed body who judges its end. HTTP/1.0 callers of the own interface got chunks, as those of routes did.

Cause: the body took a closed channel for the end of the response.

Change: only the piece that carries the last events ends the body; a channel closed before is an error. Both interfaces stream through entry::body.

--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::access::{Caller, authorize};
+use super::body;
 use super::charge::charge;
 use super::closed::Closed;
 use super::generate::{self, Done, Failure, Job};
@@ -17,7 +18,7 @@
 use super::openai::{self, Completion, Style};
 use super::place::acquire;
 use super::refusal::Refusal;
-use super::stream::{Piece, body, complete_response};
+use super::stream::{Piece, complete_response, events};
 use super::{Entry, read_body};
 use crate::upstream::engine::Error;
 
@@ -66,7 +67,7 @@
         idempotency::Start::Refused(refusal) => return entry.refuse(id, refusal),
     };
     if work.completion.stream {
-        return stream(entry, work, closed, record).await;
+        return stream(entry, request, work, closed, record).await;
     }
     let mut text = String::new();
     let result = tokio::select! {
@@ -131,6 +132,7 @@
 /// Streams the response from a separate task, which ends when the caller closes its connection.
 async fn stream(
     entry: &web::Data<Entry>,
+    request: &HttpRequest,
     work: Work,
     closed: Closed,
     record: idempotency::Record,
@@ -166,11 +168,9 @@
         }
         None => return entry.record_cancellation("model", id),
     };
-    let body = body(first, receiver, id, record);
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .insert_header(("x-request-id", id.to_string()))
-        .streaming(body)
+    let mut response = HttpResponse::Ok();
+    response.content_type("text/event-stream").insert_header(("x-request-id", id.to_string()));
+    body::streaming(request, response, events(first, receiver, id, record))
 }
 
 /// Charges the request, then makes attempts until one completes or no retry is allowed.
--- a/crates/damaskhatch/src/entry/idempotency.rs
+++ b/crates/damaskhatch/src/entry/idempotency.rs
@@ -103,6 +103,9 @@
 }
 
 impl Record {
+    /// The record of a request without a key, of which nothing is kept.
+    pub const UNKEYED: Self = Self { target: None };
+
     /// Whether the request has an idempotency key, so that its response must be recorded.
     pub const fn is_keyed(&self) -> bool {
         self.target.is_some()
@@ -173,7 +176,7 @@
     fingerprint: Tag,
 ) -> Start {
     let Some(header) = request.headers().get(HEADER) else {
-        return Start::Run(Record { target: None });
+        return Start::Run(Record::UNKEYED);
     };
     let text = header.to_str().unwrap_or("");
     if text.is_empty() || text.len() > MAX_KEY_BYTES {
--- a/crates/damaskhatch/src/entry/stream.rs
+++ b/crates/damaskhatch/src/entry/stream.rs
@@ -1,5 +1,7 @@
 //! Streams a response to its caller as server-sent events.
 
+use std::io;
+
 use actix_web::{HttpResponse, web};
 use damaskhatch_policy::prelude::*;
 use tokio::sync::mpsc;
@@ -29,45 +31,60 @@
     receiver: mpsc::UnboundedReceiver<Piece>,
     first: Option<String>,
     sent: String,
+    /// `None` once the last events have been returned.
     record: Option<idempotency::Record>,
     id: Request,
 }
 
-/// Builds the body that sends pieces as they arrive and records them for repeats.
-pub fn body(
+/// Returns the events of a body as they arrive, and records them for repeats.
+///
+/// An error item ends it if the sender is dropped before the last events.
+pub fn events(
     first: String,
     receiver: mpsc::UnboundedReceiver<Piece>,
     id: Request,
     record: idempotency::Record,
-) -> impl futures_util::Stream<Item = Result<web::Bytes, std::io::Error>> {
+) -> impl futures_util::Stream<Item = io::Result<web::Bytes>> {
     let (first, record) = (Some(first), Some(record));
     let state = Body { receiver, first, sent: String::new(), record, id };
-    futures_util::stream::unfold(state, |mut state| async move {
-        let text = state.next_text().await?;
-        Some((Ok(web::Bytes::from(text)), state))
+    futures_util::stream::unfold(Some(state), async |state| {
+        let mut state = state?;
+        match state.next_text().await {
+            Ok(Some(text)) => Some((Ok(web::Bytes::from(text)), Some(state))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
     })
 }
 
 impl Body {
-    /// The next events to send; `None` once the stream has ended.
-    async fn next_text(&mut self) -> Option<String> {
+    /// The next events to send; `None` once the last have been sent.
+    async fn next_text(&mut self) -> io::Result<Option<String>> {
         if let Some(first) = self.first.take() {
-            return Some(self.record_sent(first));
+            return Ok(Some(self.record_sent(first)));
+        }
+        if self.record.is_none() {
+            return Ok(None);
         }
-        match self.receiver.recv().await? {
-            Piece::Text(text) => Some(self.record_sent(text)),
-            Piece::End(end) => {
-                let id = self.id;
-                let text = end.unwrap_or_else(|refusal| openai::event(&refusal.body(id)));
-                let text = self.record_sent(text);
-                let record = self.record.take()?;
-                record.finish(idempotency::Response::event_stream(
-                    std::mem::take(&mut self.sent),
-                    id,
-                ));
-                Some(text)
-            }
+        let piece = self.receiver.recv().await.ok_or_else(|| {
+            io::Error::other(format!("generation of request {} ended before its end", self.id))
+        })?;
+        Ok(Some(match piece {
+            Piece::Text(text) => self.record_sent(text),
+            Piece::End(end) => self.finish(end),
+        }))
+    }
+
+    /// Returns the last events and records the response.
+    fn finish(&mut self, end: Result<String, Refusal>) -> String {
+        let id = self.id;
+        let text = end.unwrap_or_else(|refusal| openai::event(&refusal.body(id)));
+        let text = self.record_sent(text);
+        if let Some(record) = self.record.take() {
+            let sent = std::mem::take(&mut self.sent);
+            record.finish(idempotency::Response::event_stream(sent, id));
         }
+        text
     }
 
     /// Appends events to the recording if the request has an idempotency key.
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -113,9 +113,19 @@
     let body = json!({
         "model": MODEL, "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
     });
+    send_completion(target, key, "HTTP/1.1", &body).await
+}
+
+/// Sends a completion request with this body as a caller of this HTTP version.
+pub async fn send_completion(
+    target: SocketAddr,
+    key: &str,
+    version: &str,
+    body: &Value,
+) -> TcpStream {
     let body = body.to_string();
     let head = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+        "POST /v1/completions {version}\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
          content-type: application/json\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
--- a/crates/standins/tests/streams.rs
+++ b/crates/standins/tests/streams.rs
@@ -4,12 +4,15 @@
 
 use std::time::{Duration, Instant};
 
-use common::{complete, eventually, fetch_stats, start_proxied, text};
+use common::{
+    complete, eventually, fetch_stats, read_raw_response, send_completion, start_proxied, text,
+};
 use damaskhatch_standins::completion;
 use damaskhatch_standins::engine::CRASH_DECODE_MARK;
-use damaskhatch_standins::fleet::Fleet;
+use damaskhatch_standins::fleet::{Fleet, MODEL};
 use damaskhatch_standins::load::build_prompt;
 use damaskhatch_standins::proxy::Rule;
+use serde_json::json;
 use tokio::time::sleep;
 
 /// Largest extra duration of a run in which links stop delivering data. It covers the time until
@@ -143,3 +146,18 @@
     })
     .await;
 }
+
+/// Guards against chunks sent to a caller whose HTTP version does not know them.
+#[actix_web::test]
+async fn an_http_10_caller_gets_a_stream_that_ends_with_its_connection() {
+    let fleet = start_proxied(|plan| plan.proxied = false).await;
+    let (key, target) = (&fleet.keys["release"], fleet.caller_addresses()[0]);
+    let body = json!({
+        "model": MODEL, "prompt": build_prompt(1, 5, 20), "max_tokens": 5, "stream": true,
+    });
+    let mut connection = send_completion(target, key, "HTTP/1.0", &body).await;
+    let response = read_raw_response(&mut connection, Duration::from_secs(5)).await;
+    let (head, events) = response.split_once("\r\n\r\n").expect("a head");
+    assert!(!head.to_ascii_lowercase().contains("transfer-encoding"), "{head}");
+    assert!(events.starts_with("data: ") && events.ends_with("data: [DONE]\n\n"), "{events}");
+}
