Hold no request past its time limit for the end of a prefill's response

What callers would see: no response at all, and a reservation held, if a prefill engine sent the head of its response and then nothing.

Cause: only the head of that response was waited for within the request's time limit.

--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -263,9 +263,10 @@
 ) -> Result<Export, Failure> {
     let extra = [(entry.header_names().phase, phase.to_owned())];
     let mut response = send(entry, routed, engine, &extra).await?;
-    let body = response
-        .read_body(MAX_PREFILL_RESPONSE_BYTES)
+    let read = response.read_body(MAX_PREFILL_RESPONSE_BYTES);
+    let body = tokio::time::timeout_at(routed.limit, read)
         .await
+        .map_err(|_elapsed| Failure::timed_out())?
         .map_err(|error| Failure::from_exchange(&error))?;
     let decode = entry.shared.deployment.dialect.decode_export;
     let decoded = decode(&body).filter(|_| response.head.status.is_success());
