--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -3,8 +3,9 @@
 //! Connections are never reused, so that neither unread bytes of an earlier
 //! response nor a stalled connection can affect another request. A truncated
 //! body is reported as [`Error::Broken`]; where only the end of the connection
-//! delimits the body, truncation can be detected only by a reset. See
-//! [docs/DESIGN.md](../../../docs/DESIGN.md#calls).
+//! delimits the body ([`Framing::Close`]), truncation can be detected here only by a
+//! reset, and the reader must judge by the content. See
+//! [docs/DESIGN.md](../../../docs/DESIGN.md#ends-of-responses).
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/exchange/tests/truncated_bodies.rs
+++ b/crates/exchange/tests/truncated_bodies.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damaskhatch_exchange::{Error, Request, send};
+use damaskhatch_exchange::{Error, Framing as Reported, Request, send};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -15,7 +15,8 @@
 enum Framing {
     ContentLength,
     Chunked,
-    /// The body ends with the connection, so that truncation by an orderly close is undetectable.
+    /// The body ends with the connection, so that this crate cannot tell a truncation by an orderly
+    /// close from the end. It reports the framing, and readers judge by the content.
     CloseDelimited,
 }
 
@@ -113,3 +114,28 @@
     let sent = send(address, Duration::from_secs(1), request.expect("a request")).await;
     assert_eq!(sent.map(|_response| ()), Err(Error::Refused));
 }
+
+/// Guards against a body whose end nothing marks, but that is reported as one with a length or
+/// chunks, so that its reader takes any end for the right one.
+#[tokio::test]
+async fn the_framing_of_a_response_is_reported() {
+    for (head, method, framing) in [
+        ("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n", "GET", Reported::Length),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "GET", Reported::Length),
+        ("HTTP/1.1 204 No Content\r\n\r\n", "GET", Reported::Length),
+        ("HTTP/1.1 200 OK\r\n\r\n", "HEAD", Reported::Length),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "GET", Reported::Chunked),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, Chunked\r\n\r\n", "GET", Reported::Chunked),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n", "GET", Reported::Close),
+        ("HTTP/1.1 200 OK\r\n\r\n", "GET", Reported::Close),
+        ("HTTP/1.0 200 OK\r\n\r\n", "GET", Reported::Close),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(serve(listener, head.as_bytes().to_vec(), End::Close));
+        let request = Request::builder().method(method).uri("/").header("host", "x");
+        let request = request.body(Bytes::new()).expect("a request");
+        let response = send(address, Duration::from_secs(1), request).await.expect("a response");
+        assert_eq!(response.framing, framing, "{method} {head:?}");
+    }
+}
