--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -20,15 +20,19 @@
     pub withdrawn: Vec<String>,
     /// The upstreams registered in the store; empty without a catalogue.
     pub upstreams: Arc<Registry>,
-    /// The requests that crashed upstreams.
-    pub strikes: Arc<Ledger>,
 }
 
 /// The archive, shared between the control actors that update it and the TCP server.
 pub type SharedArchive = Arc<Mutex<Archive>>;
 
 /// Builds the reply to a peer's query; `None` for a body that is no such query.
-pub fn respond(archive: &SharedArchive, query: Body) -> Option<Body> {
+///
+/// `ledger` returns the requests that crashed upstreams, as known now.
+pub fn respond(
+    archive: &SharedArchive,
+    ledger: impl FnOnce() -> Arc<Ledger>,
+    query: Body,
+) -> Option<Body> {
     let archive = archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     match query {
         Body::GetHead => {
@@ -49,9 +53,8 @@
             (version > 0).then_some(Body::Listing { version, is_partial, changes })
         }
         Body::GetStrikes => {
-            let strikes = Arc::clone(&archive.strikes);
             drop(archive);
-            Some(Body::Strikes(strikes.reports(Instant::now())))
+            Some(Body::Strikes(ledger().reports(Instant::now())))
         }
         _ => None,
     }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -116,11 +116,7 @@
         };
         let strikes = {
             let (shared, scheduling) = (shared.clone(), scheduling.clone());
-            let channels = strikes::Channels {
-                codec: Arc::clone(codec),
-                archive: Arc::clone(archive),
-                publish: strikes,
-            };
+            let channels = strikes::Channels { codec: Arc::clone(codec), publish: strikes };
             Supervisor::start_in_arbiter(&thread, |_| {
                 strikes::Strikes::new(shared, scheduling, channels)
             })
--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -16,7 +16,6 @@
 use tokio::sync::watch;
 
 use crate::control::Incoming;
-use crate::control::configuration::SharedArchive;
 use crate::control::scheduling::{ClearSuspicion, Scheduling};
 use crate::peers::{SharedCodec, query};
 use crate::prelude::*;
@@ -67,9 +66,7 @@
 pub struct Channels {
     /// Seals the queries to other hosts.
     pub codec: SharedCodec,
-    /// What other hosts may pull from this one.
-    pub archive: SharedArchive,
-    /// Publishes the ledger to all threads.
+    /// Publishes the ledger to all threads, and to other hosts that pull it.
     pub publish: watch::Sender<Arc<Ledger>>,
 }
 
@@ -154,10 +151,7 @@
 
     /// Makes the ledger visible to all threads and peers, and saves it if `may_save`.
     fn publish(&mut self, may_save: bool, ctx: &mut Context<Self>) {
-        let ledger = Arc::new(self.ledger.clone());
-        let archive = self.channels.archive.lock();
-        archive.unwrap_or_else(std::sync::PoisonError::into_inner).strikes = Arc::clone(&ledger);
-        self.channels.publish.send_replace(ledger);
+        self.channels.publish.send_replace(Arc::new(self.ledger.clone()));
         for crash in self.ledger.culprits().flat_map(|culprit| self.ledger.crashes_of(culprit)) {
             self.scheduling.do_send(ClearSuspicion(crash.upstream));
         }
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -336,8 +336,7 @@
         let name = upstream_name(&entry.shared.snapshot(), engine);
         let crash = Crash { upstream: engine, started_ms: 0, name };
         let now = Instant::now();
-        let ran_for = now.saturating_duration_since(sent_at);
-        let strike = Strike { fingerprint: work.fingerprint, crash, ran_for };
+        let strike = Strike::new(work.fingerprint, crash, sent_at, now);
         entry.report_strike(strike, now).await;
     }
 }
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -26,7 +26,7 @@
 use damaskhatch_policy::placement::Loads;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, Budget};
-use damaskhatch_policy::strike::Strike;
+use damaskhatch_policy::strike::{Quarantine, Strike};
 use serde_json::json;
 
 use crate::control::Control;
@@ -133,23 +133,22 @@
         if !ledger.is_struck(fingerprint) {
             return Ok(None);
         }
-        let Some(wait) = ledger.refused_for(fingerprint, Instant::now()) else {
+        let Some(Quarantine { left, crashed }) = ledger.quarantine(fingerprint, Instant::now())
+        else {
             return Ok(ledger.suspected_crash(fingerprint));
         };
-        let crashes = ledger.crashes_of(fingerprint);
-        let names: Vec<&str> = crashes.iter().map(|crash| crash.name.as_str()).collect();
         self.shared.journal.record(
             label,
             format_args!(
                 "event=quarantined fingerprint={fingerprint} crashed={} left_s={}",
-                names.join(","),
-                wait.as_secs()
+                crashed.join(","),
+                left.as_secs()
             ),
         );
         Err(if may_have_run {
             Refusal::from(Kind::UpstreamFailed).with_may_have_run(true)
         } else {
-            Refusal::after(Kind::Quarantined, wait)
+            Refusal::after(Kind::Quarantined, left)
         })
     }
 
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -266,8 +266,7 @@
     };
     if error == Error::Broken && plain::is_dead(&snapshot.upstreams[index].address).await {
         let crash = Crash { upstream, started_ms: 0, name: upstream_name(snapshot, upstream) };
-        let ran_for = broke_at.saturating_duration_since(sent_at);
-        let strike = Strike { fingerprint: work.fingerprint, crash, ran_for };
+        let strike = Strike::new(work.fingerprint, crash, sent_at, broke_at);
         entry.report_strike(strike, broke_at).await;
     }
 }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -93,7 +93,8 @@
         deliver: move |arrival| recipient.deliver(arrival),
     };
     actix_rt::spawn(datagrams.run(outgoing));
-    let respond_to_query = move |query| respond(&archive, query);
+    let ledger = shared.clone();
+    let respond_to_query = move |query| respond(&archive, || ledger.strike_ledger(), query);
     actix_rt::spawn(serve(listener, codec, shared.metrics.clone(), respond_to_query));
 
     let stop = Arc::new(Notify::new());
--- a/crates/damaskhatch/src/quarantine.rs
+++ b/crates/damaskhatch/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use actix_web::{HttpResponse, web};
 use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::strike::Quarantine;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -36,13 +37,8 @@
 async fn list(operator: web::Data<Operator>) -> HttpResponse {
     let (ledger, now) = (operator.shared.strike_ledger(), Instant::now());
     let refused = ledger.culprits().filter_map(|fingerprint| {
-        let left = ledger.refused_for(fingerprint, now)?;
-        let crashes = ledger.crashes_of(fingerprint);
-        Some(Entry {
-            fingerprint: fingerprint.to_string(),
-            left_s: left.as_secs(),
-            crashed: crashes.into_iter().map(|crash| crash.name).collect(),
-        })
+        let Quarantine { left, crashed } = ledger.quarantine(fingerprint, now)?;
+        Some(Entry { fingerprint: fingerprint.to_string(), left_s: left.as_secs(), crashed })
     });
     HttpResponse::Ok().json(refused.collect::<Vec<_>>())
 }
--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -87,8 +87,7 @@
             started_ms: self.upstream.started_ms,
             name: self.upstream.instance.clone(),
         };
-        let ran_for = self.broke_at.saturating_duration_since(self.sent_at);
-        Strike { fingerprint: self.fingerprint, crash, ran_for }
+        Strike::new(self.fingerprint, crash, self.sent_at, self.broke_at)
     }
 }
 
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -96,7 +96,7 @@
             let failed = Refusal::from(Kind::UpstreamFailed).with_may_have_run(true);
             if progress.history.may_have_run { failed } else { refusal }
         })?;
-        let export = prefill(entry, routed, progress).await;
+        let export = prefill(entry, routed, progress).await?;
         check_admission(entry, routed, progress.history)?;
         let mut extra = vec![
             (entry.header_names().reservation, reservation.name().to_owned()),
@@ -213,15 +213,19 @@
 }
 
 /// Runs the prefill on a prefill engine; `None` leaves it to the decode engine.
-async fn prefill(entry: &Entry, routed: &Routed, progress: &mut Progress) -> Option<Export> {
+async fn prefill(
+    entry: &Entry,
+    routed: &Routed,
+    progress: &mut Progress,
+) -> Result<Option<Export>, Refusal> {
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
     let phase = entry.shared.deployment.dialect.prefill_phase.to_owned();
     for _ in 0..MAX_PREFILL_ATTEMPTS {
         // The first of two engines may have crashed under the request.
-        check_admission(entry, routed, progress.history).ok()?;
+        check_admission(entry, routed, progress.history)?;
         let now = Instant::now();
-        let engine = {
+        let chosen = {
             let outliers = entry.outliers();
             let usable = registry
                 .usable(service)
@@ -231,19 +235,20 @@
                 .first()
                 .copied()
                 .cloned()
-        }?;
+        };
+        let Some(engine) = chosen else { return Ok(None) };
 
         // All calls after the first are charged to the retry budget, however the first ended.
         if std::mem::replace(&mut progress.was_prefill_requested, true)
             && !entry.spend_service_retry(routed.service)
         {
-            return None;
+            return Ok(None);
         }
         let prompt = routed.tokens.unwrap_or_default().prompt + progress.tokens_done;
         let load = Load { prefill_tokens: prompt, ..Load::default() };
         let _guard = entry.shared.loads.track(engine.tag, load);
         match request_export(entry, routed, &engine, &phase).await {
-            Ok(export) => return Some(export),
+            Ok(export) => return Ok(Some(export)),
             Err(failure) => {
                 let (sent_at, history) = (now, progress.history);
                 let attempt = Attempt { upstream: &engine, sent_at, phase: "prefill", history };
@@ -251,7 +256,7 @@
             }
         }
     }
-    None
+    Ok(None)
 }
 
 /// Requests one prefill engine to process the prompt and to export its KV cache.
--- a/crates/policy/src/strike.rs
+++ b/crates/policy/src/strike.rs
@@ -65,6 +65,23 @@
     }
 }
 
+impl Strike {
+    /// A strike for a crash at `broke_at` of a request that was sent to the upstream at `sent_at`.
+    pub fn new(fingerprint: Tag, crash: Crash, sent_at: Instant, broke_at: Instant) -> Self {
+        Self { fingerprint, crash, ran_for: broke_at.saturating_duration_since(sent_at) }
+    }
+}
+
+plain! { state
+    /// Why and for how long a request is refused.
+    pub struct Quarantine {
+        /// The remaining time.
+        pub left: Duration,
+        /// The names of the upstreams whose crashes are attributed to it, oldest crash first.
+        pub crashed: Vec<String>,
+    }
+}
+
 plain! { data
     /// A strike as hosts tell it to each other.
     pub struct Report {
@@ -217,14 +234,21 @@
         Some(latest.strike.crash.upstream)
     }
 
-    /// The remaining time for which the fingerprint is refused; `None` if it may run.
-    pub fn refused_for(&self, fingerprint: Tag, now: Instant) -> Option<Duration> {
+    /// The quarantine of the fingerprint; `None` if it may run.
+    pub fn quarantine(&self, fingerprint: Tag, now: Instant) -> Option<Quarantine> {
         let (events, own) = self.attributed(fingerprint)?;
         let doublings = u32::try_from(events - LIMIT).unwrap_or(u32::MAX);
-        let quarantine = BASE_QUARANTINE.saturating_mul(2_u32.saturating_pow(doublings));
+        let length = BASE_QUARANTINE.saturating_mul(2_u32.saturating_pow(doublings));
         let latest = own.iter().map(|entry| entry.crashed_at).max()?;
-        let until = latest + quarantine.min(MAX_QUARANTINE);
-        until.checked_duration_since(now).filter(|left| !left.is_zero())
+        let until = latest + length.min(MAX_QUARANTINE);
+        let left = until.checked_duration_since(now).filter(|left| !left.is_zero())?;
+        let crashed = own.into_iter().map(|entry| entry.strike.crash.name.clone()).collect();
+        Some(Quarantine { left, crashed })
+    }
+
+    /// The remaining time for which the fingerprint is refused; `None` if it may run.
+    pub fn refused_for(&self, fingerprint: Tag, now: Instant) -> Option<Duration> {
+        self.quarantine(fingerprint, now).map(|quarantine| quarantine.left)
     }
 
     /// The crashes attributed to the fingerprint, oldest first; empty below the limit.
