--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -129,7 +129,8 @@
     let framing = response.framing;
     let mut verdict = Verdict::of_body(framing != Framing::Close, Content::Opaque);
     if verdict == Verdict::Unverified {
-        verdict = judge_close(entry, Broken::new(routed, attempt.upstream, attempt.sent_at)).await;
+        let broken = Broken::new(routed, attempt.upstream, attempt.sent_at);
+        verdict = judge_close(entry, broken, routed.limit).await;
     }
     entry.count_end(framing, verdict);
     if verdict == Verdict::Truncated {
--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -156,9 +156,11 @@
 /// Judges a body that ended with its connection and whose content does not show it to be cut off.
 ///
 /// A process that crashes closes its connections in order, unless it has not read all that it was
-/// sent. Costs one connection, which is opened for such bodies only.
-pub async fn judge_close(entry: &Entry, broken: Broken) -> Verdict {
-    let evidence = find_evidence(entry, &broken.upstream).await;
+/// sent. Costs one connection, which is opened for such bodies only. Returns at `limit` at the latest,
+/// the time limit of the request.
+pub async fn judge_close(entry: &Entry, broken: Broken, limit: Instant) -> Verdict {
+    let evidence = find_evidence(entry, &broken.upstream);
+    let evidence = tokio::time::timeout_at(limit, evidence).await.unwrap_or(Evidence::Silent);
     let upstream = match evidence {
         Evidence::Accepted => Upstream::Listening,
         Evidence::Refused => Upstream::Gone,
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -133,7 +133,7 @@
         };
         let mut verdict = Verdict::of_body(framing != Framing::Close, content);
         if verdict == Verdict::Unverified {
-            verdict = judge_close(entry, self.broken()).await;
+            verdict = judge_close(entry, self.broken(), routed.limit).await;
         }
         entry.count_end(framing, verdict);
         verdict
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -59,11 +59,14 @@
 /// How a response marks the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Framing {
-    /// length
+    /// By a length, which is 0 for a response without a body.
+    #[displaydoc("length")]
     Length,
-    /// chunked
+    /// By a last chunk.
+    #[displaydoc("chunked")]
     Chunked,
-    /// close
+    /// By nothing but the end of the connection.
+    #[displaydoc("close")]
     Close,
 }
 
@@ -90,7 +93,7 @@
 pub struct Response {
     /// The status and headers.
     pub head: Head,
-    /// How the end of the body is marked; a response without a body counts as one of length 0.
+    /// How the end of the body is marked.
     pub framing: Framing,
     body: Incoming,
     _driver: Driver,
