Probe a service that resets the first connection again, on the own interface

What callers would see: a plain service that crashes inside a response without length and chunks: in about half of the cases the rest was still passed on as complete, and replayed to a repeat with the same idempotency key; its crash earned no strike. Found by crashing a real process instead of a listener in the test.

Cause: a connection to an ending process is often accepted and then reset. The probe of the own interface took that for no sign of a crash.

Change: the probe is repeated once if its connection breaks. The stand-in service can send a body that ends with its connection and exit inside it; the test crashes it after 0, 1 and 20 bytes, repeats each call with its key and has the service restarted.

--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -15,6 +15,8 @@
 
 /// The time limit for probing whether an upstream still accepts connections.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often an upstream is probed if the connections break.
+const MAX_PROBES: usize = 2;
 /// The longest response body that is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// The header by which an upstream guarantees that it did not run a call.
@@ -88,13 +90,20 @@
 
 /// Finds out by a request whether an upstream still serves.
 ///
-/// A connection that breaks does not show that it is gone: something between the two ends may break
-/// all of them.
+/// A connection to a process that is ending may be accepted and reset, so one that breaks is tried
+/// again. Two that break do not show that the upstream is gone: something between the two ends may
+/// break all of them.
 async fn probe(address: &str) -> Upstream {
-    let probe = send(address, "GET", "/load", HeaderMap::new(), Bytes::new());
-    match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
-        Ok(Ok(_response)) => Upstream::Listening,
-        Ok(Err(Error::Refused)) => Upstream::Gone,
-        Ok(Err(_)) | Err(_) => Upstream::Unknown,
+    let mut upstream = Upstream::Unknown;
+    for _ in 0..MAX_PROBES {
+        let probe = send(address, "GET", "/load", HeaderMap::new(), Bytes::new());
+        upstream = match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
+            Ok(Ok(_response)) => Upstream::Listening,
+            Ok(Err(Error::Refused)) => Upstream::Gone,
+            Ok(Err(_broken)) => continue,
+            Err(_elapsed) => Upstream::Unknown,
+        };
+        break;
     }
+    upstream
 }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -51,7 +51,7 @@
 /// A prompt that contains this text makes the engine that decodes it exit.
 pub const CRASH_DECODE_MARK: &str = "CRASH-DECODE";
 /// The exit code of a crash, which a shell reports for a process killed by SIGKILL.
-const CRASH_CODE: i32 = 137;
+pub(crate) const CRASH_CODE: i32 = 137;
 /// The interval at which expired exports and cancellations are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -8,11 +8,15 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::http::ConnectionType;
+use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer, web};
+use futures_util::stream::{StreamExt, once};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::engine::CRASH_CODE;
+
 /// The header that carries the caller's id of a call.
 pub const CALL_HEADER: &str = "x-call-id";
 
@@ -38,8 +42,16 @@
     /// How long the call takes, in milliseconds.
     #[serde(default)]
     sleep_ms: u64,
+    /// Whether the response has neither a length nor chunks and ends with its connection.
+    #[serde(default)]
+    is_unframed: bool,
+    /// The number of bytes of such a response after which the process crashes.
+    crash_after_bytes: Option<usize>,
 }
 
+/// The time in which the bytes before a crash reach the caller.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 type Shared = web::Data<Service>;
 
 /// Serves the service's HTTP interface at an address until the process ends.
@@ -81,9 +93,37 @@
     };
     sleep(Duration::from_millis(options.sleep_ms)).await;
     let text = String::from_utf8_lossy(&body).into_owned();
-    HttpResponse::Ok()
-        .insert_header(("x-request-id", header("x-request-id")))
-        .json(json!({ "call": id, "path": request.path(), "body": text }))
+    let body = json!({ "call": id, "path": request.path(), "body": text });
+    let mut response = HttpResponse::Ok();
+    response.insert_header(("x-request-id", header("x-request-id")));
+    if options.is_unframed {
+        respond_unframed(response, body.to_string(), options.crash_after_bytes)
+    } else {
+        response.json(body)
+    }
+}
+
+/// Sends a body whose end only the end of the connection marks, or crashes inside it.
+fn respond_unframed(
+    mut response: HttpResponseBuilder,
+    mut body: String,
+    crash_after_bytes: Option<usize>,
+) -> HttpResponse {
+    if let Some(bytes) = crash_after_bytes {
+        body.truncate(bytes);
+    }
+    let crash = once(async move {
+        if crash_after_bytes.is_some() {
+            sleep(CRASH_DELAY).await;
+            std::process::exit(CRASH_CODE);
+        }
+        Ok(web::Bytes::new())
+    });
+    let body = once(async { Ok::<_, io::Error>(web::Bytes::from(body)) }).chain(crash);
+    let mut response = response.streaming(body);
+    response.head_mut().no_chunking(true);
+    response.head_mut().set_connection_type(ConnectionType::Close);
+    response
 }
 
 async fn report_load(service: Shared) -> HttpResponse {
--- a/crates/standins/tests/not_run.rs
+++ b/crates/standins/tests/not_run.rs
@@ -121,3 +121,35 @@
     let other = call(fleet.caller_addresses()[0], &path, &headers, "three drums").await;
     assert_eq!(other.expect("the host responds").code(), "key_reused");
 }
+
+/// Guards against a response that its service's crash cuts off, with nothing to mark its end, and
+/// that is passed on, or replayed to a repeat, as the complete one.
+#[actix_web::test]
+async fn a_close_delimited_response_that_a_crash_cuts_off_is_not_passed_on() {
+    let mut fleet = start_proxied(|plan| plan.proxied = false).await;
+    let bearer = format!("Bearer {}", fleet.keys["release"]);
+    for (round, crash_after_bytes) in [None, Some(0), Some(1), Some(20)].into_iter().enumerate() {
+        let id = format!("unframed-{round}");
+        let crash = crash_after_bytes.map(|bytes| format!("&crash_after_bytes={bytes}"));
+        let crash = crash.unwrap_or_default();
+        let path = format!("/services/{SERVICE}/book?is_unframed=true&round={round}{crash}");
+        let headers = [("authorization", &*bearer), ("x-call-id", &*id), ("idempotency-key", &*id)];
+        let target = fleet.caller_addresses()[round];
+        for _ in 0..2 {
+            let response = call(target, &path, &headers, "two drums").await;
+            let response = response.expect("the host responds");
+            if crash.is_empty() {
+                assert_eq!((response.status, &response.body["body"]), (200, &"two drums".into()));
+            } else {
+                assert_eq!(response.status, 502, "{id}: {}", response.body);
+                assert_eq!(response.outcome(), "unknown", "{id}: {}", response.body);
+            }
+        }
+        for mut service in std::mem::take(&mut fleet.services) {
+            if service.exit_code().is_some() {
+                fleet.restart(&mut service).expect("the service restarts");
+            }
+            fleet.services.push(service);
+        }
+    }
+}
