Judge streams that are read as a whole by their content, too

What callers would see: a stream of events that stops inside an event reached its caller as complete if the response was read as a whole: from a plain service on either interface, or if a request on a stream route declares no token counts.

Cause: the verdict on those bodies was given without looking at their content.

Change: the splitter moves to upstream::events, which both interfaces use, and judges whole bodies as well: by the declared type, and on stream routes for successes without one.

--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use damaskhatch_exchange::{self as exchange, Framing, Head, Response};
 use damaskhatch_policy::attempt::{History, Outcome};
-use damaskhatch_policy::ending::{Content, Verdict};
+use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
@@ -16,6 +16,7 @@
 use crate::relay::crash::{Broken, Pending, examine, judge_close};
 use crate::relay::dialect::Call;
 use crate::relay::request::Routed;
+use crate::upstream::events;
 
 /// Time limit for opening a connection to an upstream.
 ///
@@ -111,8 +112,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the body breaks off, which includes that its upstream has crashed at its end, or does
-/// not end within the request's time limit.
+/// Fails if the body breaks off, by its framing, its content or its upstream's crash, or does not
+/// end within the request's time limit.
 pub async fn read_complete(
     entry: &Entry,
     routed: &Routed,
@@ -126,8 +127,12 @@
         ..Failure::from_exchange(&error)
     };
     let body = read.map_err(|_elapsed| Failure::timed_out())?.map_err(failed)?;
-    let framing = response.framing;
-    let mut verdict = Verdict::of_body(framing != Framing::Close, Content::Opaque);
+    let Response { framing, head, .. } = &response;
+    let framing = *framing;
+    // A failure of a route for streams need not be a stream.
+    let is_implied = head.status.is_success() && routed.route.repeat.is_stream();
+    let content = events::content(&head.headers, &body, is_implied, routed.is_resumed(entry));
+    let mut verdict = Verdict::of_body(framing != Framing::Close, content);
     if verdict == Verdict::Unverified {
         let broken = Broken::new(routed, attempt.upstream, attempt.sent_at);
         verdict = judge_close(entry, broken, routed.limit).await;
@@ -135,7 +140,7 @@
     entry.count_end(framing, verdict);
     if verdict == Verdict::Truncated {
         let reason = format!(
-            "body of {} bytes ended with its connection, and the upstream has crashed",
+            "body broke off after {} bytes: framing {framing}, content {content:?}",
             body.len()
         );
         return Err(Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true });
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -8,7 +8,6 @@
 pub mod attempt;
 pub mod crash;
 pub mod dialect;
-pub mod events;
 pub mod forward;
 pub mod generate;
 pub mod held;
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Whether the caller has events of the response already, from this host or another.
+    pub fn is_resumed(&self, entry: &Entry) -> bool {
+        // A resumption at another engine sets the header, too.
+        self.headers.contains_key(entry.header_names().last_event)
+    }
+
     /// The time until the caller's deadline, in whole milliseconds; 0 if it has passed.
     pub fn remaining_ms(&self, now: Instant) -> u64 {
         self.deadline.saturating_duration_since(now).as_millis() as u64
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -18,10 +18,10 @@
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
 use super::crash::{Broken, examine, examine_if_silent, judge_close};
-use super::events::{Splitter, is_event_stream};
 use super::pair::{Progress, Running, start};
 use super::request::Routed;
 use crate::entry::Entry;
+use crate::upstream::events::{Splitter, is_event_stream};
 
 /// What is needed to forward a stream and to resume it at another engine.
 #[derive(Debug)]
@@ -58,7 +58,7 @@
 /// An error item ends it as one that broke off.
 pub fn stream(parts: Parts) -> impl Stream<Item = io::Result<Bytes>> {
     let state = State {
-        has_events: is_event_stream(&parts.running.response.head.headers),
+        has_events: is_event_stream(&parts.running.response.head.headers, true),
         has_opaque_bytes: false,
         parts,
         splitter: Splitter::default(),
@@ -120,17 +120,9 @@
     async fn judge_end(&self) -> Verdict {
         let Parts { entry, routed, running, .. } = &self.parts;
         let framing = running.response.framing;
-        // The header names the last event that the caller has, also after an earlier resumption.
-        let is_resumed = routed.headers.contains_key(entry.header_names().last_event);
-        let content = if !self.has_events {
-            Content::Opaque
-        } else if self.splitter.is_cut() {
-            Content::InsideEvent
-        } else if self.splitter.has_event() || is_resumed {
-            Content::AfterEvent
-        } else {
-            Content::BeforeEvents
-        };
+        let is_resumed = routed.is_resumed(entry);
+        let content =
+            if self.has_events { self.splitter.content(is_resumed) } else { Content::Opaque };
         let mut verdict = Verdict::of_body(framing != Framing::Close, content);
         if verdict == Verdict::Unverified {
             verdict = judge_close(entry, self.broken(), routed.limit).await;
@@ -248,7 +240,7 @@
 /// Whether a response can follow in a body that consists of events, or does not.
 fn can_continue(next: &Running, has_events: bool) -> bool {
     let head = &next.response.head;
-    head.status.is_success() && is_event_stream(&head.headers) == has_events
+    head.status.is_success() && is_event_stream(&head.headers, true) == has_events
 }
 
 impl Drop for State {
--- a/crates/damaskhatch/src/relay/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -10,6 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use damaskhatch_exchange::{HeaderMap, header};
+use damaskhatch_policy::ending::Content;
 use displaydoc::Display;
 
 /// The encoding of U+FEFF, which a stream may begin with.
@@ -194,6 +195,19 @@
         self.lines.pending.len()
     }
 
+    /// Where a body that ends here ends.
+    ///
+    /// `is_resumed` is whether the body was requested from a later event than the first.
+    pub fn content(&self, is_resumed: bool) -> Content {
+        if self.is_cut() {
+            Content::InsideEvent
+        } else if self.has_event || is_resumed {
+            Content::AfterEvent
+        } else {
+            Content::BeforeEvents
+        }
+    }
+
     /// Whether a body that ends here was cut off: inside an event, a line or a line's end.
     pub fn is_cut(&self) -> bool {
         // A lone CR ends a line too, but not in a stream whose lines end in CRLF.
@@ -201,12 +215,24 @@
     }
 }
 
-/// Whether the body of a response is a stream of events, by its head.
+/// Where a body ends that has been received as a whole, with its response's headers.
+///
+/// `is_implied` and `is_resumed` are as for [`is_event_stream`] and [`Splitter::content`].
+pub fn content(headers: &HeaderMap, body: &[u8], is_implied: bool, is_resumed: bool) -> Content {
+    if !is_event_stream(headers, is_implied) {
+        return Content::Opaque;
+    }
+    let mut splitter = Splitter::default();
+    // Without a resumption in its middle, a body has no gap.
+    splitter.push(body).map_or(Content::Opaque, |_events| splitter.content(is_resumed))
+}
+
+/// Whether the body of a response is a stream of events, by its headers.
 ///
-/// Engines may leave the type out, because the route implies it.
-pub fn is_event_stream(headers: &HeaderMap) -> bool {
+/// `is_implied` is whether it is one if no type is given, because the request's route is for streams.
+pub fn is_event_stream(headers: &HeaderMap, is_implied: bool) -> bool {
     let value = |name| headers.get(name).map(|value| value.to_str().unwrap_or("").trim());
-    let is_type = value(header::CONTENT_TYPE).is_none_or(|value| {
+    let is_type = value(header::CONTENT_TYPE).map_or(is_implied, |value| {
         let essence = value.split(';').next().unwrap_or("").trim();
         essence.eq_ignore_ascii_case("text/event-stream")
     });
--- a/crates/damaskhatch/src/upstream/mod.rs
+++ b/crates/damaskhatch/src/upstream/mod.rs
@@ -3,5 +3,6 @@
 //! The HTTP interface is described in [docs/UPSTREAMS.md](../../../../docs/UPSTREAMS.md).
 
 pub mod engine;
+pub mod events;
 pub mod message;
 pub mod plain;
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -6,10 +6,11 @@
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
 use damaskhatch_exchange::{Framing, HeaderMap};
-use damaskhatch_policy::ending::{Content, Upstream, Verdict};
+use damaskhatch_policy::ending::{Upstream, Verdict};
 use damaskhatch_policy::prelude::Request;
 
 use super::engine::{Error, Result, send};
+use super::events;
 use crate::entry::idempotency::Response;
 use crate::headers;
 
@@ -19,6 +20,8 @@
 const MAX_PROBES: usize = 2;
 /// The longest response body that is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// The header by which a caller names the last event that it has of a stream.
+const LAST_EVENT: &str = "last-event-id";
 /// The header by which an upstream guarantees that it did not run a call.
 const NOT_RUN: &str = "x-not-run";
 
@@ -40,8 +43,8 @@
 /// Sends the call over a new connection and reads the complete response.
 ///
 /// Also returns whether the body is known to be complete. The call fails with [`Error::Broken`] if
-/// the body ends with its connection and the upstream then refuses connections, unless
-/// `is_leaving` returns true.
+/// the body is a stream of events and ends inside one, or if it ends with its connection and the
+/// upstream then refuses connections, unless `is_leaving` returns true.
 pub async fn call(
     address: &str,
     call: &Call,
@@ -54,7 +57,9 @@
         let mut response = sent.await?;
         let body = response.read_body(MAX_RESPONSE_BYTES).await?;
         let is_framed = response.framing != Framing::Close;
-        let mut verdict = Verdict::of_body(is_framed, Content::Opaque);
+        let is_resumed = call.headers.contains_key(LAST_EVENT);
+        let content = events::content(&response.head.headers, &body, false, is_resumed);
+        let mut verdict = Verdict::of_body(is_framed, content);
         if verdict == Verdict::Unverified && !is_leaving() {
             verdict = verdict.with_upstream(probe(address).await);
         }
--- a/crates/damaskhatch/tests/events.rs
+++ b/crates/damaskhatch/tests/events.rs
@@ -1,6 +1,6 @@
 //! Guards against events that are held back, torn or miscounted because of how their lines end.
 
-use damaskhatch::relay::events::{Gap, Splitter};
+use damaskhatch::upstream::events::{Gap, Splitter};
 use proptest::prelude::*;
 
 /// The bytes that the splitter returns for `chunks`, one entry a chunk.
--- a/crates/damaskhatch/tests/truncated_responses.rs
+++ b/crates/damaskhatch/tests/truncated_responses.rs
@@ -62,6 +62,8 @@
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbo",
         "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: a\n\ndat",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 4\r\n\r\ndata",
         "HTTP/1.1 200 OK\r\nconte",
         "",
     ] {
