Let try_unfold end the two streamed bodies at their first error

Read once more: relay::stream and entry::stream each carried their state in an Option and mapped the same three results by hand, so that an error is the last item. futures_util's try_unfold does just that; behaviour is unchanged.

Evidence: clippy, and generation_ends, stream_ends, stream_cuts, stream_mix and streams pass.

--- a/crates/damaskhatch/src/entry/stream.rs
+++ b/crates/damaskhatch/src/entry/stream.rs
@@ -47,13 +47,8 @@
 ) -> impl futures_util::Stream<Item = io::Result<web::Bytes>> {
     let (first, record) = (Some(first), Some(record));
     let state = Body { receiver, first, sent: String::new(), record, id };
-    futures_util::stream::unfold(Some(state), async |state| {
-        let mut state = state?;
-        match state.next_text().await {
-            Ok(Some(text)) => Some((Ok(web::Bytes::from(text)), Some(state))),
-            Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
-        }
+    futures_util::stream::try_unfold(state, async |mut state| {
+        Ok(state.next_text().await?.map(|text| (web::Bytes::from(text), state)))
     })
 }
 
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -13,7 +13,7 @@
 use damaskhatch_policy::ending::{Content, Verdict};
 use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::routing::Repeat;
-use futures_util::stream::{Stream, unfold};
+use futures_util::stream::{Stream, try_unfold};
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
@@ -66,14 +66,7 @@
         last_byte_at: Instant::now(),
         rest_bytes: 0,
     };
-    unfold(Some(state), async |state| {
-        let mut state = state?;
-        match state.next().await {
-            Ok(Some(bytes)) => Some((Ok(bytes), Some(state))),
-            Ok(None) => None,
-            Err(error) => Some((Err(error), None)),
-        }
-    })
+    try_unfold(state, async |mut state| Ok(state.next().await?.map(|bytes| (bytes, state))))
 }
 
 impl State {
