Choose the ports of test processes without binding them first

Cause: a port was found by binding port 0 and closing the listener. Two things could take it before its process listened on it: - A process that another test thread was starting inherits the listener until it runs its program.

Change: an address of a block gets ports from a range that the system does not choose from, counted per process and never bound first. A proxy refuses to forward to itself.

Which of the two causes each earlier failure had is not known.

--- a/crates/standins/src/fleet/block.rs
+++ b/crates/standins/src/fleet/block.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The port at `127.a.b.254` whose listener owns the block `127.a.b.*`.
 pub const BLOCK_PORT: u16 = 6_999;
@@ -11,13 +13,20 @@
 pub const FIRST_UPSTREAM_OCTET: u8 = 151;
 /// The difference between the last octets of a host's proxies and of the host.
 pub const PROXY_OCTET_OFFSET: u8 = 200;
+/// The ports that are given out, all below those that the system chooses itself.
+const PORTS: Range<u16> = 7_000..32_000;
 /// How many blocks are tried before a reservation fails.
 const MAX_ATTEMPTS: u32 = 60_000;
 
+/// How many ports were given out, counted for all blocks together, because the proxies of an ended fleet listen
+/// until their runtime ends.
+static GIVEN_OUT: AtomicU16 = AtomicU16::new(0);
+
 /// The loopback addresses `127.a.b.*`, reserved for one fleet as long as this value lives.
 ///
-/// Every process has an address of its own, so that no other process takes a port that was found
-/// to be free for it.
+/// Every process has an address of its own, and ports from a range from which the system takes none
+/// for connections or for sockets bound to port 0, so that nothing else takes a port before its
+/// process binds it.
 #[derive(Debug)]
 pub struct Block {
     a: u8,
@@ -46,22 +55,18 @@
         Ipv4Addr::new(127, self.a, self.b, octet)
     }
 
-    /// Finds `N` different free ports at an address of the block.
-    pub fn free_addresses<const N: usize>(&self, octet: u8) -> io::Result<[SocketAddr; N]> {
-        // All ports stay bound until the last is found, so that none is found twice.
-        let listeners: Vec<TcpListener> =
-            (0..N).map(|_| TcpListener::bind((self.ip(octet), 0))).collect::<Result<_, _>>()?;
-        let found: Vec<SocketAddr> =
-            listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
-        found.try_into().map_err(|found: Vec<_>| {
-            let message =
-                format!("bound {} ports at {}, requested {N}", found.len(), self.ip(octet));
-            io::Error::other(message)
-        })
+    /// Gives out `N` ports at an address of the block.
+    pub fn next_addresses<const N: usize>(&self, octet: u8) -> [SocketAddr; N] {
+        std::array::from_fn(|_| self.next_address(octet))
     }
 
-    /// Finds a free port at an address of the block.
-    pub fn free_address(&self, octet: u8) -> io::Result<SocketAddr> {
-        TcpListener::bind((self.ip(octet), 0))?.local_addr()
+    /// Gives out a port at an address of the block, without binding it.
+    ///
+    /// A listener that tries the port would be inherited by a process that another thread is
+    /// starting, and the port would stay in use until that process runs its program.
+    pub fn next_address(&self, octet: u8) -> SocketAddr {
+        let count = GIVEN_OUT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + count % (PORTS.end - PORTS.start);
+        SocketAddr::from((self.ip(octet), port))
     }
 }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -17,7 +17,8 @@
 mod process;
 mod sheet;
 
-use block::{Block, FIRST_UPSTREAM_OCTET, PLATFORM_OCTET, PROXY_OCTET_OFFSET};
+pub use block::Block;
+use block::{FIRST_UPSTREAM_OCTET, PLATFORM_OCTET, PROXY_OCTET_OFFSET};
 pub use http::{get, post, post_bytes};
 pub use plan::Plan;
 pub use process::Process;
@@ -95,9 +96,9 @@
         ));
         std::fs::create_dir_all(&directory)?;
         let block = Block::reserve()?;
-        let address = block.free_address(PLATFORM_OCTET)?;
-        let args = vec!["platform".to_owned(), "--listen".to_owned(), address.to_string()];
-        let platform = launch_proxied(&plan, "platform", address, args).await?;
+        let addresses = block.next_addresses(PLATFORM_OCTET);
+        let args = vec!["platform".to_owned(), "--listen".to_owned(), addresses[0].to_string()];
+        let platform = launch_proxied(&plan, "platform", addresses, args).await?;
         let mut fleet = Self {
             platform,
             engines: Vec::new(),
@@ -122,27 +123,29 @@
                 [("prefill", plan.prefills_per_domain), ("decode", plan.decodes_per_domain)]
             {
                 for index in 0..count {
-                    let address = self.next_upstream_address()?;
+                    let addresses = self.next_upstream_addresses();
                     let mut args = vec!["engine".to_owned(), "--listen".to_owned()];
-                    args.extend([address.to_string(), "--role".to_owned(), role.to_owned()]);
+                    args.extend([addresses[0].to_string(), "--role".to_owned(), role.to_owned()]);
                     args.extend(plan.engine_args.iter().cloned());
                     let name = format!("{domain}-{role}-{index}");
-                    self.engines.push(launch_proxied(&plan, &name, address, args).await?);
+                    self.engines.push(launch_proxied(&plan, &name, addresses, args).await?);
                 }
             }
             for index in 0..plan.services_per_domain {
-                let address = self.next_upstream_address()?;
-                let args = vec!["service".to_owned(), "--listen".to_owned(), address.to_string()];
+                let addresses = self.next_upstream_addresses();
+                let listen = addresses[0].to_string();
+                let args = vec!["service".to_owned(), "--listen".to_owned(), listen];
                 let name = format!("{domain}-app-{index}");
-                self.services.push(launch_proxied(&plan, &name, address, args).await?);
+                self.services.push(launch_proxied(&plan, &name, addresses, args).await?);
             }
         }
         Ok(())
     }
 
-    fn next_upstream_address(&self) -> io::Result<SocketAddr> {
+    /// Chooses the addresses of the next upstream and of the proxy before it.
+    fn next_upstream_addresses(&self) -> [SocketAddr; 2] {
         let count = (self.engines.len() + self.services.len()) as u8;
-        self.block.free_address(FIRST_UPSTREAM_OCTET + count)
+        self.block.next_addresses(FIRST_UPSTREAM_OCTET + count)
     }
 
     async fn start_hosts(&mut self) -> io::Result<()> {
@@ -165,7 +168,7 @@
 
     /// Chooses the addresses of a host and starts the proxies around it.
     async fn place_host(&self, name: String, domain: &str, octet: u8) -> io::Result<Placement> {
-        let [peer, caller, operator] = self.block.free_addresses(octet)?;
+        let [peer, caller, operator] = self.block.next_addresses(octet);
         let domain = domain.to_owned();
         let platform = self.platform.address;
         if !self.plan.proxied {
@@ -182,13 +185,12 @@
                 proxies,
             });
         }
-        let bind_address = SocketAddr::from((self.block.ip(PROXY_OCTET_OFFSET + octet), 0));
-        let (advertise, connections) = proxy::tcp(bind_address, peer).await?;
+        let [advertise, before_platform] = self.block.next_addresses(PROXY_OCTET_OFFSET + octet);
+        let (_advertise, connections) = proxy::tcp(advertise, peer).await?;
         let (_advertise, datagrams) = proxy::udp(advertise, peer).await?;
-        let bind_address = SocketAddr::from((self.block.ip(PROXY_OCTET_OFFSET + octet), 0));
-        let (platform_proxy, to_platform) = proxy::tcp(bind_address, platform).await?;
+        let (_before_platform, to_platform) = proxy::tcp(before_platform, platform).await?;
         let proxies = Some(Proxies { datagrams, connections, platform: to_platform });
-        let platform = platform_proxy;
+        let platform = before_platform;
         Ok(Placement { name, domain, caller, operator, peer, advertise, platform, proxies })
     }
 
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -54,17 +54,16 @@
     }
 }
 
-/// Starts a process and, if [`Plan::proxied`] is set, a proxy before its address.
+/// Starts a process and, if [`Plan::proxied`] is set, a proxy at `listed` before its address.
 pub async fn launch_proxied(
     plan: &Plan,
     name: &str,
-    address: SocketAddr,
+    [address, listed]: [SocketAddr; 2],
     args: Vec<String>,
 ) -> io::Result<Process> {
     let mut process = launch(plan, name, address, args)?;
     if plan.proxied {
-        let bind_address = SocketAddr::new(address.ip(), 0);
-        let (listed, proxy) = proxy::tcp(bind_address, address).await?;
+        let (listed, proxy) = proxy::tcp(listed, address).await?;
         (process.listed, process.proxy) = (listed, Some(proxy));
     }
     Ok(process)
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -69,6 +69,9 @@
 pub async fn tcp(listen: SocketAddr, target: SocketAddr) -> io::Result<(SocketAddr, Handle)> {
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
+    if address == target {
+        return Err(io::Error::other(format!("proxy at {address} would forward to itself")));
+    }
     let (handle, rule) = Handle::new();
     tokio::spawn(async move {
         loop {
