Bind all ports of a host before its first connection

Connections to other hosts come from the host's own address. They were made while the caller and operator ports were not bound yet, so the system could give such a connection one of these ports, and the host then failed to start.

Not measured: the failure was found by reading, while the ports of test processes were traced. The tests of platform/, fallback and configuration pass.

--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -16,7 +17,6 @@
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_policy::tenure;
 use damaskhatch_wire::frame::{Codec, wall_ms};
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
 
 use crate::control::configuration::{Archive, respond};
@@ -25,6 +25,7 @@
 use crate::decision::Journal;
 use crate::deployment::Deployment;
 use crate::entry::{self, Entry, closed};
+use crate::listeners::Listeners;
 use crate::metrics::Metrics;
 use crate::operator::{self, Operator};
 use crate::peers::{Datagrams, Outbox, serve};
@@ -44,6 +45,7 @@
 
 /// Runs a host until it receives a stop signal or an operator's drain, and has drained.
 pub async fn run(settings: Settings, deployment: Deployment) -> io::Result<()> {
+    let listeners = Listeners::bind(&settings.host).await?;
     let incarnation = wall_ms();
     let host = Tag::of(&settings.host.name);
     let (outbox, outgoing) = Outbox::new();
@@ -77,14 +79,12 @@
     let codec = Arc::new(Mutex::new(codec));
     let archive = Arc::new(Mutex::new(Archive { chunks: HashMap::new(), ..Archive::default() }));
 
-    let socket = UdpSocket::bind(settings.host.peer).await?;
-    let listener = TcpListener::bind(settings.host.peer).await?;
     let arbiter = Arbiter::new();
     let publishers = Publishers { config, view, registry, freshness, strikes };
     let control = Control::start(&arbiter, &shared, &codec, &archive, publishers);
     let recipient = control.clone();
     let datagrams = Datagrams {
-        socket,
+        socket: listeners.datagrams,
         codec: Arc::clone(&codec),
         host,
         incarnation,
@@ -95,12 +95,14 @@
     actix_rt::spawn(datagrams.run(outgoing));
     let ledger = shared.clone();
     let respond_to_query = move |query| respond(&archive, || ledger.strike_ledger(), query);
-    actix_rt::spawn(serve(listener, codec, shared.metrics.clone(), respond_to_query));
+    actix_rt::spawn(serve(listeners.peers, codec, shared.metrics.clone(), respond_to_query));
 
     let stop = Arc::new(Notify::new());
-    let operator_server = start_operator_server(&shared, &control, &stop)?;
-    let caller_server = start_caller_server(&shared, &control)?;
-    start_readiness_server(&shared)?;
+    let operator_server = start_operator_server(listeners.operator, &shared, &control, &stop)?;
+    let caller_server = start_caller_server(listeners.caller, &shared, &control)?;
+    if let Some(listener) = listeners.ready {
+        start_readiness_server(listener, &shared)?;
+    }
     log::info!(
         "event=started host={} domain={} caller={} operator={} peer={}",
         settings.host.name,
@@ -119,7 +121,11 @@
 }
 
 /// Starts the server that callers connect to.
-fn start_caller_server(shared: &Shared, control: &Control) -> io::Result<ServerHandle> {
+fn start_caller_server(
+    listener: TcpListener,
+    shared: &Shared,
+    control: &Control,
+) -> io::Result<ServerHandle> {
     let settings = &shared.settings;
     let state = web::Data::new(Entry::new(shared.clone(), control.clone()));
     let is_routed = shared.deployment.catalogue.is_some();
@@ -131,19 +137,15 @@
         .client_request_timeout(REQUEST_TIMEOUT)
         .shutdown_timeout(settings.limits.drain_s)
         .disable_signals()
-        .bind(settings.host.caller)?
+        .listen(listener)?
         .run();
     let handle = server.handle();
     actix_rt::spawn(server);
     Ok(handle)
 }
 
-/// Starts the server of the readiness path for load balancers, if the settings contain an address
-/// for it.
-fn start_readiness_server(shared: &Shared) -> io::Result<()> {
-    let Some(address) = shared.settings.host.ready else {
-        return Ok(());
-    };
+/// Starts the server of the readiness path for load balancers.
+fn start_readiness_server(listener: TcpListener, shared: &Shared) -> io::Result<()> {
     let path = shared.settings.host.ready_path.clone();
     let state = web::Data::new(shared.clone());
     let server = HttpServer::new(move || {
@@ -151,7 +153,7 @@
     })
     .workers(1)
     .disable_signals()
-    .bind(address)?
+    .listen(listener)?
     .run();
     actix_rt::spawn(server);
     Ok(())
@@ -177,6 +179,7 @@
 
 /// Starts the server on the operator port.
 fn start_operator_server(
+    listener: TcpListener,
     shared: &Shared,
     control: &Control,
     stop: &Arc<Notify>,
@@ -188,7 +191,7 @@
         HttpServer::new(move || App::new().app_data(state.clone()).configure(operator::configure))
             .workers(1)
             .disable_signals()
-            .bind(shared.settings.host.operator)?
+            .listen(listener)?
             .run();
     let handle = server.handle();
     actix_rt::spawn(server);
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod entry;
 pub mod headers;
 pub mod host;
+pub mod listeners;
 pub mod logging;
 pub mod metrics;
 pub mod operator;
