Write the configuration in force again when the restored store lost it

What operators would see: after a restore of the store from an older copy, the store's head is below the revision that all hosts have in force. Every change was refused for good, because it is based on the revision in force and the store has another one. A host that watched a version of the era before never read again.

Change: a host that reads a head below its own writes its own again, in place of the version that it read, before an operator's change or when it watches. A watch that the store cannot continue becomes a plain read. The age of the configuration is confirmed only while no live host announces a higher revision, since the restored store may show an older one.

Evidence: configuration, an_accepted_sheet_stays_in_force_and_is_written_again_after_a_restore: fails with the write removed ("not within 5s: a change on top of the lost revision"), passes with it.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -58,6 +58,14 @@
     confirmed: HashSet<Tag>,
 }
 
+/// A configuration that the restored store has lost.
+struct Lost {
+    head: Head,
+    rows: Vec<Row>,
+    /// The version of the older head that the store has.
+    version: u64,
+}
+
 /// The actor that holds the configuration.
 pub struct Configuration {
     shared: Shared,
@@ -246,11 +254,15 @@
         let pulled = async move { pull(source, revision, known).await };
         let written = pulled.into_actor(self).then(move |pulled, actor, _ctx| {
             let prepared = pulled.and_then(|pulled| {
+                let lost = actor.lost_head(&pulled);
                 actor.apply_pulled(pulled, "platform");
-                Ok((rows(&actor.state)?, actor.state.head().revision))
+                Ok((rows(&actor.state)?, actor.state.head().revision, lost))
             });
             async move {
-                let (rows, base) = prepared?;
+                let (rows, base, lost) = prepared?;
+                if let Some(Lost { head, rows, version }) = lost {
+                    Store::new(client.clone()).write_again(&head, &rows, version).await?;
+                }
                 Store::new(client).accept(&rows, base, &operation).await.map(|head| (head, rows))
             }
             .into_actor(actor)
@@ -262,6 +274,36 @@
         }))
     }
 
+    /// The head in force with its rows, if the store has an older one.
+    ///
+    /// Only a restored store goes back. A read that was overtaken by a write of this host looks
+    /// the same, and the version that it read then makes the write of the older head fail.
+    fn lost_head(&self, pulled: &Pulled) -> Option<Lost> {
+        let (head, rows) = (self.state.head(), self.state.rows());
+        let is_own_format = self.foreign().is_none();
+        (is_own_format && pulled.head.revision < head.revision).then(|| Lost {
+            head: head.clone(),
+            rows: rows.to_vec(),
+            version: pulled.version,
+        })
+    }
+
+    /// Writes a configuration again that the restored store has lost.
+    fn write_lost(&self, lost: Lost, ctx: &mut Context<Self>) {
+        let Lost { head, rows, version } = lost;
+        let store = Store::new(self.client());
+        let written =
+            async move { (store.write_again(&head, &rows, version).await, head.revision) };
+        ctx.spawn(written.into_actor(self).map(
+            |(written, revision), _actor, _ctx| match written {
+                Ok(()) => log::warn!("event=config_written_again revision={revision}"),
+                Err(error) => {
+                    log::info!("event=config_not_written_again revision={revision} error={error}");
+                }
+            },
+        ));
+    }
+
     /// Puts in force a revision that this host wrote.
     fn apply_written(&mut self, head: &Head, rows: Vec<Row>) {
         let split = damaskhatch_policy::config::split(&rows);
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -43,7 +43,7 @@
                 watch_timeout
             },
         };
-        let sent_at = boot_time();
+        let (sent_at, after) = (boot_time(), self.version);
         let known = self.known_chunks();
         let revision = self.state.head().revision;
         let pulled = async move { pull(source, revision, known).await };
@@ -54,8 +54,18 @@
                 Ok(pulled) => {
                     actor.store.record_result(None::<&Error>);
                     let is_missing = pulled.version == 0;
+                    let is_read = after == 0 || pulled.head.revision > 0;
+                    if let Some(lost) = actor.lost_head(&pulled).filter(|_| is_read) {
+                        actor.write_lost(lost, ctx);
+                    }
+                    if is_missing {
+                        actor.version = 0;
+                    }
                     actor.apply_pulled(pulled, "platform");
-                    actor.freshness.send_modify(|freshness| freshness.confirm(sent_at));
+                    // A restored store may have an older configuration than a host.
+                    if !actor.is_behind_peer() {
+                        actor.freshness.send_modify(|freshness| freshness.confirm(sent_at));
+                    }
                     if is_missing { WATCH_PAUSE } else { Duration::ZERO }
                 }
                 Err(error) => {
@@ -71,6 +81,13 @@
         }));
     }
 
+    /// Whether a live host announces a higher revision than the one in force here.
+    fn is_behind_peer(&self) -> bool {
+        let (hosts, now) = (self.shared.hosts(), Instant::now());
+        let revision = self.state.head().revision;
+        hosts.members().any(|member| member.is_alive(now) && member.record.revision > revision)
+    }
+
     pub(super) fn known_chunks(&self) -> HashMap<String, String> {
         lock(&self.archive).chunks.clone()
     }
--- a/crates/standins/tests/configuration.rs
+++ b/crates/standins/tests/configuration.rs
@@ -13,6 +13,10 @@
 /// Time limit for an accepted sheet to be in force on all connected hosts.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time limit for all hosts to hold their slots again after a restore of the store, which takes
+/// some steps of each.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
+
 async fn inject_fault(fleet: &Fleet, fault: Fault) {
     let fault = serde_json::to_value(fault).expect("a fault is JSON");
     fleet::post(fleet.platform.address, "/test/fault", &fault).await.expect("the fault is set");
@@ -135,3 +139,19 @@
         host.proxies.as_ref().expect("the fleet has proxies").platform.set(Rule::default());
     }
 }
+
+/// Guards against operators' changes that are refused for good once the restored store has lost
+/// the revision in force.
+#[actix_web::test]
+async fn an_accepted_sheet_stays_in_force_and_is_written_again_after_a_restore() {
+    let fleet = start_proxied(|_| {}).await;
+    let base = fetch_revision(&fleet, 0).await;
+    assert_eq!(accept_sheet(&fleet, 0, base, "lost").await, Ok(base + 1));
+    fleet.wait_in_force(base + 1, IN_FORCE_TIMEOUT).await.expect("in force everywhere");
+    inject_fault(&fleet, Fault { restore_ms: 5_000, ..Fault::default() }).await;
+    eventually("a change on top of the lost revision", IN_FORCE_TIMEOUT, async || {
+        accept_sheet(&fleet, 3, base + 1, "next").await == Ok(base + 2)
+    })
+    .await;
+    fleet.wait_in_force(base + 2, RECOVERY_TIMEOUT).await.expect("in force, all slots held");
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Writes a head again that the restored store has lost, in place of the one at `version`.
+    pub async fn write_again(&self, head: &Head, rows: &[Row], version: u64) -> Result<()> {
+        for chunk in config::split(rows) {
+            self.write_chunk(&encode(&chunk)).await?;
+        }
+        let value = serde_json::to_string(head).expect("a head has only strings and numbers");
+        let swap = Swap { value, expect: version, lease: None };
+        self.client.compare_and_swap(HEAD_KEY, &swap).await.map(drop)
+    }
+
     /// Reads the head again to find out whether a swap that failed with `error` took effect.
     async fn resolve_swap(&self, head: &Head, error: Error) -> Result<Head> {
         let (current, _version) = self.head().await.map_err(|_unreachable| error.clone())?;
