--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -204,7 +204,7 @@
     fn started(&mut self, ctx: &mut Context<Self>) {
         self.register(ctx);
         // A restored store may have lost the entry.
-        on_restore(&self.shared.era.clone(), ctx, |actor, ctx| actor.register(ctx));
+        on_restore(&self.shared.era, ctx, |actor, ctx| actor.register(ctx));
         ctx.run_interval(HEARTBEAT_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.send_heartbeats());
         });
--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -229,7 +229,7 @@
 
     fn started(&mut self, ctx: &mut Context<Self>) {
         self.load(ctx);
-        on_restore(&self.shared.era.clone(), ctx, Self::save_again);
+        on_restore(&self.shared.era, ctx, Self::save_again);
         ctx.run_interval(COMPARE_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.compare());
         });
