--- a/crates/policy/src/position.rs
+++ b/crates/policy/src/position.rs
@@ -10,7 +10,8 @@
 /// Versions of the first 512 eras fit the 53 bits that a JSON number keeps exactly.
 const REVISION_BITS: u32 = 44;
 
-/// The highest era in which a store may begin that has never been restored.
+/// The highest era in which a store may begin that has never been restored; its interface does not
+/// say whether eras are counted from 0 or from 1.
 const MAX_FIRST_ERA: u64 = 1;
 
 /// An era of the store and a revision or another counter that starts again with the era.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -23,8 +23,8 @@
 
 /// A client of the store at one address.
 ///
-/// Its versions and lease numbers hold the era of the store besides the store's own numbers. A
-/// call with one of an earlier era fails as if the store had dropped it.
+/// Its versions and leases hold the era of the store besides the store's own numbers. A call with
+/// one of an earlier era fails as if the store had dropped it.
 #[derive(Debug, Clone)]
 pub struct Client {
     address: SocketAddr,
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -61,7 +61,7 @@
     Listing(Listing),
     /// The key's version after a write.
     Version(u64),
-    /// A new lease.
+    /// A new lease, to which the client adds the era.
     Lease(Grant),
     /// The operation succeeded and returns no data.
     Done,
