--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -54,12 +54,11 @@
                 Ok(pulled) => {
                     actor.store.record_result(None::<&Error>);
                     let is_missing = pulled.version == 0;
-                    let is_read = after == 0 || pulled.head.revision > 0;
-                    if let Some(lost) = actor.lost_head(&pulled).filter(|_| is_read) {
-                        actor.write_lost(lost, ctx);
-                    }
-                    if is_missing {
+                    if is_missing && after > 0 {
+                        // Also where the store was restored since; only a read shows what it has.
                         actor.version = 0;
+                    } else if let Some(lost) = actor.lost_head(&pulled) {
+                        actor.write_lost(lost, ctx);
                     }
                     actor.apply_pulled(pulled, "platform");
                     // A restored store may have an older configuration than a host.
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -104,7 +104,8 @@
     /// announced the new era, which takes several seconds by the usual heartbeats alone.
     fn announce_era(&mut self) {
         let now = Instant::now();
-        let records = vec![self.view.next_heartbeat(&mut self.rng, now).records.swap_remove(0)];
+        self.view.own.count += 1;
+        let records = vec![self.view.own.clone()];
         let alive = self.view.members().filter(|member| member.is_alive(now));
         for member in alive.filter(|member| member.record.domain == self.shared.domain) {
             let heartbeat = Body::Heartbeat { records: records.clone(), counts: Vec::new() };
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -78,22 +78,24 @@
 where
     A: Actor<Context = Context<A>>,
 {
-    wait_for_restore(era.clone(), era.seen(), ctx, react);
+    wait_for_restore(era.restores(), ctx, react);
 }
 
 fn wait_for_restore<A>(
-    era: Era,
-    known: Option<u64>,
+    mut restores: watch::Receiver<Option<u64>>,
     ctx: &mut Context<A>,
     react: fn(&mut A, &mut Context<A>),
 ) where
     A: Actor<Context = Context<A>>,
 {
-    let restored = async move { (era.wait_restored(known).await, era) };
-    let restored = actix::fut::wrap_future::<_, A>(restored);
-    ctx.spawn(restored.map(move |(latest, era), actor, ctx| {
-        guard(actor, ctx, react);
-        wait_for_restore(era, Some(latest), ctx, react);
+    let next = async move { restores.changed().await.map(|()| restores) };
+    let next = actix::fut::wrap_future::<_, A>(next);
+    ctx.spawn(next.map(move |next, actor, ctx| {
+        // Fails once no client of the store is left.
+        if let Ok(restores) = next {
+            guard(actor, ctx, react);
+            wait_for_restore(restores, ctx, react);
+        }
     }));
 }
 
--- a/crates/damaskhatch/src/control/roster/era.rs
+++ b/crates/damaskhatch/src/control/roster/era.rs
@@ -1,12 +1,8 @@
-//! Gives up a host's slots after a restore of the store, and finds out when they can be held again.
-
-use std::collections::HashSet;
+//! Gives up a host's slots after a restore of the store.
 
 use damaskhatch_policy::position::Position;
-use damaskhatch_policy::tenure::{LEASE_TTL, Observed, Roster, VOUCH_TTL};
 
-use super::{Keeper, SILENCE_MARGIN};
-use crate::clock::steady;
+use super::Keeper;
 use crate::prelude::*;
 
 impl Keeper {
@@ -14,7 +10,7 @@
     ///
     /// A host that is cut off from the store has to give up its slots, too, before others may
     /// hold them.
-    fn announced_era(&self) -> u64 {
+    pub(super) fn announced_era(&self) -> u64 {
         let hosts = self.shared.hosts();
         let announced = hosts.members().map(|member| Position::of(member.record.epoch).era);
         announced.max().unwrap_or(0)
@@ -41,34 +37,4 @@
             self.step(ctx);
         }
     }
-
-    /// Finds out whether any host may still spend by a roster from before a restore of the store.
-    ///
-    /// A host that announces an epoch of this era has given up its earlier slots. A host that was
-    /// not heard for longer than keys stay valid spends nothing.
-    pub(super) fn observe_earlier_eras(&self, observed: &mut Observed) {
-        let (hosts, now, started) = (self.shared.hosts(), steady(), self.shared.started);
-        let seats = self.tenure.roster().map(Roster::seats).unwrap_or_default();
-        let in_domain = hosts.members().map(|member| &member.record);
-        let in_domain = in_domain.filter(|record| record.domain == self.shared.domain);
-        let mut others: HashSet<Tag> = in_domain.map(|record| record.host).collect();
-        others.extend(seats.iter().map(|seat| seat.host));
-        others.remove(&self.shared.host);
-        let freshness = Duration::from_millis(self.shared.settings.limits.key_freshness_ms);
-        let keys_expire = !freshness.is_zero();
-        let limit = if keys_expire { freshness + SILENCE_MARGIN } else { LEASE_TTL + VOUCH_TTL };
-        let era = self.shared.era.latest().max(self.announced_era());
-        observed.is_settled = others.into_iter().all(|host| {
-            if let Some(member) = hosts.member(host).filter(|member| member.is_alive(now)) {
-                // A later epoch than the era's first shows a roster that this host has not read.
-                let announced = Position::of(member.record.epoch);
-                return announced.era >= era && announced.revision == 0;
-            }
-            let is_silent = hosts.is_silent(host, limit, started, now);
-            if is_silent && !keys_expire {
-                observed.unheard.extend(seats.iter().filter(|seat| seat.host == host));
-            }
-            is_silent
-        });
-    }
 }
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -4,8 +4,6 @@
 //! changes the roster if slots should move. While the store does not respond, the host
 //! requests vouches from the other hosts of the roster.
 
-use std::collections::HashSet;
-
 use damaskhatch_policy::rendezvous;
 use damaskhatch_policy::tenure::{Confirmed, Observed, Roster, Seat, Tenure};
 use damaskhatch_store::error::{Error, Result};
@@ -23,6 +21,7 @@
 use crate::supervise::guard;
 
 mod era;
+mod observe;
 mod store;
 
 use store::{Keys, Reading, encode, read};
@@ -33,8 +32,6 @@
 const IDLE_READ_INTERVAL: Duration = Duration::from_secs(2);
 /// The pause after a step that changed the roster or tried to.
 const CHANGED_PAUSE: Duration = Duration::from_millis(200);
-/// Added to the TTL of keys to cover relayed heartbeats and responses that are in transit.
-const SILENCE_MARGIN: Duration = Duration::from_secs(4);
 /// The number of hosts that share the slots of a domain of any size.
 const HOLDERS_PER_DOMAIN: usize = 4;
 /// The role by which rendezvous hashing selects the hosts that hold slots.
@@ -198,21 +195,6 @@
         self.shared.is_owner(HOLDER_ROLE, HOLDERS_PER_DOMAIN)
     }
 
-    /// Members and holders that send no heartbeats, and whose leases are therefore read.
-    fn silent_seats(&self) -> Vec<Seat> {
-        let hosts = self.shared.hosts();
-        let now = steady();
-        let is_alive = |seat: &Seat| {
-            let member = hosts.member(seat.host);
-            member.is_some_and(|m| m.is_alive(now) && m.record.incarnation == seat.incarnation)
-        };
-        let Some(roster) = self.tenure.roster() else { return Vec::new() };
-        let members = roster.members.iter().map(|member| member.seat);
-        let holders = roster.slots.iter().map(|holding| holding.holder);
-        let all: HashSet<Seat> = members.chain(holders).collect();
-        all.into_iter().filter(|seat| *seat != self.seat() && !is_alive(seat)).collect()
-    }
-
     /// Updates the tenure from a reading; returns what was observed of the other hosts.
     fn apply_reading(&mut self, reading: Reading) -> Observed {
         self.shared.metrics.platform_calls.with_label_values(&["ok"]).inc();
@@ -228,27 +210,12 @@
         observed.dropped = self.dropped_hosts();
         let selected = rendezvous::owners(Tag::of(HOLDER_ROLE), eligible, HOLDERS_PER_DOMAIN);
         observed.eligible = selected.into_iter().collect();
-        self.observe_earlier_eras(&mut observed);
+        if self.tenure.awaits_first_roster() {
+            self.observe_earlier_eras(&mut observed);
+        }
         observed
     }
 
-    /// Hosts of current or earlier holders that can no longer spend.
-    ///
-    /// A host accepts keys only while it reaches the store or a host that does. If no heartbeat of
-    /// it arrives, direct or relayed, for longer than keys stay valid, it spends nothing.
-    fn dropped_hosts(&self) -> HashSet<Tag> {
-        let freshness = self.shared.settings.limits.key_freshness_ms;
-        let Some(roster) = self.tenure.roster().filter(|_| freshness > 0) else {
-            return HashSet::new();
-        };
-        let limit = Duration::from_millis(freshness) + SILENCE_MARGIN;
-        let (hosts, now, started) = (self.shared.hosts(), Instant::now(), self.shared.started);
-        let holders = roster.slots.iter().map(|holding| holding.holder);
-        let priors = roster.slots.iter().flat_map(|holding| holding.priors.iter().copied());
-        let seats = holders.chain(priors).map(|seat| seat.host);
-        seats.filter(|host| hosts.is_silent(*host, limit, started, now)).collect()
-    }
-
     /// Stores the epoch that was read as confirmed, unless the store already has it.
     fn confirm(&self, observed: Result<Observed>) -> ResponseActFuture<Self, Result<Observed>> {
         let confirmed = Confirmed { seat: self.seat(), epoch: self.tenure.epoch() };
--- a/crates/policy/src/tenure/mod.rs
+++ b/crates/policy/src/tenure/mod.rs
@@ -270,8 +270,8 @@
     /// Returns the roster that this host should write next; `None` if nothing has to change.
     pub fn propose_roster(&self, observed: &Observed, now: Instant) -> Option<Roster> {
         let Some(current) = self.current_roster() else {
-            return (self.first_epoch() == 0 || observed.is_settled)
-                .then(|| self.first_roster(observed));
+            let may_found = !self.awaits_first_roster() || observed.is_settled;
+            return may_found.then(|| self.first_roster(observed));
         };
         let mut next = current.clone();
         next.epoch += 1;
--- a/crates/policy/tests/tenure/main.rs
+++ b/crates/policy/tests/tenure/main.rs
@@ -10,7 +10,7 @@
 use damaskhatch_policy::tenure::{LEASE_TTL, SLOTS};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use world::{Event, Node, World, event};
+use world::{Node, World, event};
 
 /// The rounding error by which the sum of all fractions may exceed 1.
 const EPSILON: f64 = 1e-9;
@@ -47,28 +47,18 @@
 #[test]
 fn holders_may_spend_every_slot_in_full_again_after_faults_end() {
     let mut world = World::new(3, 0);
-    let run = |world: &mut World, rounds: usize| {
-        for round in 0..rounds {
-            for index in 0..world.nodes.len() {
-                if world.nodes[index].is_alive {
-                    world.step(index, 1);
-                }
-            }
-            world.apply(Event { action: 39, node: round, wait_ms: 100, pick: 1 });
-        }
-    };
-    run(&mut world, 100);
+    world.run(100);
     assert!((0..SLOTS).all(|slot| (world.spendable(slot) - 1.0).abs() < EPSILON));
     world.crash(0, false);
-    run(&mut world, 60);
+    world.run(60);
     assert!((0..SLOTS).all(|slot| world.spendable(slot) > 0.4), "other hosts took over in time");
-    run(&mut world, 200);
+    world.run(200);
     assert!((0..SLOTS).all(|slot| (world.spendable(slot) - 1.0).abs() < EPSILON));
     // A host whose lease expired during a partition gets a valid lease again afterwards.
     world.nodes[1].is_partitioned = true;
-    run(&mut world, 60);
+    world.run(60);
     world.nodes[1].is_partitioned = false;
-    run(&mut world, 200);
+    world.run(200);
     assert!((0..SLOTS).all(|slot| (world.spendable(slot) - 1.0).abs() < EPSILON));
     let holds = (0..SLOTS).any(|n| world.nodes[1].tenure.allowance(n, world.now).fraction > 0.0);
     assert!(holds, "the host holds slots again after the partition");
@@ -90,7 +80,7 @@
     // After the outage every lease has expired in the platform and no slot has moved.
     world.content.leases.clear();
     world.is_platform_down = false;
-    run(&mut world, 200);
+    world.run(200);
     world.in_flight.clear();
     let has_valid_lease = |node: &&Node| node.tenure.has_valid_lease(world.now);
     assert_eq!(world.nodes.iter().filter(|n| n.is_alive).filter(has_valid_lease).count(), 2);
@@ -101,22 +91,13 @@
 fn every_slot_is_held_in_full_again_after_a_restore() {
     for era in 0..3 {
         let mut world = World::new(3, era);
-        let run = |world: &mut World, rounds: usize| {
-            for round in 0..rounds {
-                for index in 0..world.nodes.len() {
-                    world.hear(index);
-                    world.step(index, 1);
-                }
-                world.apply(Event { action: 39, node: round, wait_ms: 100, pick: 1 });
-            }
-        };
         let is_full =
             |world: &World| (0..SLOTS).all(|slot| (world.spendable(slot) - 1.0).abs() < EPSILON);
-        run(&mut world, 100);
+        world.run(100);
         assert!(is_full(&world), "in the first era, {era}");
         for pick in [0, 3, 7] {
             world.restore(pick);
-            run(&mut world, 60);
+            world.run(60);
             assert!(is_full(&world), "era {era}, copy {pick}");
         }
     }
--- a/crates/policy/tests/tenure/world.rs
+++ b/crates/policy/tests/tenure/world.rs
@@ -152,6 +152,19 @@
         }
     }
 
+    /// Lets all live hosts hear each other and step, in rounds of 100 ms.
+    pub fn run(&mut self, rounds: usize) {
+        for round in 0..rounds {
+            for index in 0..self.nodes.len() {
+                if self.nodes[index].is_alive {
+                    self.hear(index);
+                    self.step(index, 1);
+                }
+            }
+            self.apply(Event { action: 39, node: round, wait_ms: 100, pick: 1 });
+        }
+    }
+
     /// Begins an era with an earlier content of the store.
     pub fn restore(&mut self, pick: usize) {
         if let Some(copy) = self.copies.get(pick % self.copies.len().max(1)) {
@@ -162,7 +175,7 @@
     }
 
     /// Sends a host's heartbeat, and lets it enter the latest era that others have announced.
-    pub fn hear(&mut self, index: usize) {
+    fn hear(&mut self, index: usize) {
         if self.nodes[index].paused_until > self.now {
             return;
         }
--- a/crates/standins/src/fleet/block.rs
+++ b/crates/standins/src/fleet/block.rs
@@ -18,8 +18,8 @@
 /// How many blocks are tried before a reservation fails.
 const MAX_ATTEMPTS: u32 = 60_000;
 
-/// How many ports were given out, counted for all blocks together, because the proxies of an ended fleet listen
-/// until their runtime ends.
+/// How many ports were given out, counted for all blocks together, because the proxies of an ended
+/// fleet listen until their runtime ends.
 static GIVEN_OUT: AtomicU16 = AtomicU16::new(0);
 
 /// The loopback addresses `127.a.b.*`, reserved for one fleet as long as this value lives.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -21,6 +21,8 @@
 const HOST_LIST_LAG: Duration = Duration::from_millis(500);
 /// The largest value that a key can hold, in bytes.
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// The shortest time between two copies of the store.
+const COPY_INTERVAL: Duration = Duration::from_millis(100);
 /// How far back the store can be restored.
 const COPIES_KEPT: Duration = Duration::from_secs(20);
 /// How long a failing call blocks before its error, as a call to a host that is down does.
@@ -67,7 +69,7 @@
 #[derive(Debug, Default)]
 struct State {
     content: Content,
-    /// The content before each of the latest writes, oldest first, and until when it was so.
+    /// Earlier contents, oldest first, and until when each was so.
     copies: VecDeque<(Instant, Content)>,
     /// How often the store was restored.
     era: u64,
@@ -170,9 +172,13 @@
         Ok(*version)
     }
 
-    /// Keeps a copy of the content before a write.
+    /// Keeps a copy of the content before a write, unless the last copy is recent.
     fn keep_copy(&mut self) {
         let now = Instant::now();
+        let is_recent = |(until, _): &(Instant, Content)| *until + COPY_INTERVAL > now;
+        if self.copies.back().is_some_and(is_recent) {
+            return;
+        }
         self.copies.retain(|(until, _)| now.saturating_duration_since(*until) < COPIES_KEPT);
         self.copies.push_back((now, self.content.clone()));
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -209,12 +209,8 @@
         let era = head.headers.get(self.protocol.era_header);
         let era = era.and_then(|era| era.to_str().ok()?.trim().parse().ok()).unwrap_or(sent_in);
         self.era.observe(era)?;
-        if era != sent_in && has_numbers(&call) {
-            // The numbers were those of the earlier era, and may stand for something else now.
-            return Err(match call {
-                Call::Watch { .. } | Call::Renew(_) | Call::Revoke(_) => Error::Missing,
-                _ => Error::Unreachable(format!("the store was restored, era {era}")),
-            });
+        if era != sent_in {
+            check_restored(&call, era)?;
         }
         match (self.protocol.decode)(&call, head.status, &body) {
             Ok(response) => with_era(response, era),
@@ -232,13 +228,15 @@
     (version == 0 || position.era == era).then_some(position.revision)
 }
 
-/// Whether a call contains numbers that the store gave out earlier.
-const fn has_numbers(call: &Call<'_>) -> bool {
+/// Fails for a call with numbers of an earlier era, if the store has begun `era` meanwhile, where
+/// they may stand for something else.
+fn check_restored(call: &Call<'_>, era: u64) -> Result<()> {
     match call {
-        Call::Watch { after, .. } => *after > 0,
-        Call::Swap(_, swap) => swap.expect > 0 || swap.lease.is_some(),
-        Call::Renew(_) | Call::Revoke(_) => true,
-        Call::Get(_) | Call::List { .. } | Call::Lease(_) | Call::Hosts => false,
+        Call::Watch { after: 1.., .. } | Call::Renew(_) | Call::Revoke(_) => Err(Error::Missing),
+        Call::Swap(_, Swap { expect: 1.., .. } | Swap { lease: Some(_), .. }) => {
+            Err(Error::Unreachable(format!("the store was restored, era {era}")))
+        }
+        _ => Ok(()),
     }
 }
 
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -21,40 +21,24 @@
         self.0.borrow().unwrap_or(0)
     }
 
-    /// The latest era; `None` before the first response.
-    pub fn seen(&self) -> Option<u64> {
-        *self.0.borrow()
-    }
-
-    /// Waits until the store enters a later era than `known`, and returns it.
-    ///
-    /// With `None`, the first era that is seen counts as known.
-    pub async fn wait_restored(&self, mut known: Option<u64>) -> u64 {
-        let mut seen = self.0.subscribe();
-        loop {
-            let latest = *seen.borrow_and_update();
-            match (known, latest) {
-                (Some(known), Some(latest)) if latest > known => return latest,
-                (None, Some(_)) => known = latest,
-                _ => {}
-            }
-            // The sender lives as long as `self`, so this waits for a change.
-            let _changed = seen.changed().await;
-        }
+    /// A receiver that is notified of each restore from now on, but not of the first era.
+    pub fn restores(&self) -> watch::Receiver<Option<u64>> {
+        self.0.subscribe()
     }
 
     /// Records the era of a response; fails if a later one has been seen, which makes the
     /// response one from before the restore.
     pub(crate) fn observe(&self, era: u64) -> Result<()> {
-        let mut latest = era;
         self.0.send_if_modified(|seen| {
-            let is_later = seen.is_none_or(|seen| era > seen);
-            if is_later && let Some(before) = seen.replace(era) {
+            let before = *seen;
+            *seen = before.max(Some(era));
+            let is_restored = before.is_some() && *seen > before;
+            if is_restored && let Some(before) = before {
                 log::warn!("event=store_restored era={era} before={before}");
             }
-            latest = seen.unwrap_or(era);
-            is_later
+            is_restored
         });
+        let latest = self.latest();
         if era < latest {
             let reason = format!("response of era {era}, the store is in era {latest}");
             return Err(Error::Unreachable(reason));
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -85,15 +85,9 @@
         if current.revision != base {
             return Err(Error::Superseded(current.revision));
         }
-        let mut chunks = Vec::new();
-        for chunk in config::split(rows) {
-            chunks.push(self.write_chunk(&encode(&chunk)).await?);
-        }
-        let head = current.next(operation, chunks);
-        let value = serde_json::to_string(&head).expect("a head has only strings and numbers");
-        let swap = Swap { value, expect: version, lease: None };
-        match self.client.compare_and_swap(HEAD_KEY, &swap).await {
-            Ok(_version) => Ok(head),
+        let head = current.next(operation, self.write_chunks(rows).await?);
+        match self.swap_head(&head, version).await {
+            Ok(()) => Ok(head),
             Err(Error::Malformed(reason)) => Err(Error::Malformed(reason)),
             Err(error) => self.resolve_swap(&head, error).await,
         }
@@ -101,9 +95,12 @@
 
     /// Writes a head again that the restored store has lost, in place of the one at `version`.
     pub async fn write_again(&self, head: &Head, rows: &[Row], version: u64) -> Result<()> {
-        for chunk in config::split(rows) {
-            self.write_chunk(&encode(&chunk)).await?;
-        }
+        self.write_chunks(rows).await?;
+        self.swap_head(head, version).await
+    }
+
+    /// Replaces the head at `version`.
+    async fn swap_head(&self, head: &Head, version: u64) -> Result<()> {
         let value = serde_json::to_string(head).expect("a head has only strings and numbers");
         let swap = Swap { value, expect: version, lease: None };
         self.client.compare_and_swap(HEAD_KEY, &swap).await.map(drop)
@@ -121,6 +118,15 @@
         Err(error)
     }
 
+    /// Writes the chunks of `rows` and returns their digests.
+    async fn write_chunks(&self, rows: &[Row]) -> Result<Vec<String>> {
+        let mut digests = Vec::new();
+        for chunk in config::split(rows) {
+            digests.push(self.write_chunk(&encode(&chunk)).await?);
+        }
+        Ok(digests)
+    }
+
     async fn write_chunk(&self, text: &str) -> Result<String> {
         let digest = digest(text);
         let swap = Swap { value: text.to_owned(), expect: 0, lease: None };
