--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use damaskhatch_policy::config::{self, Head};
+use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::sheet::Row;
 use damaskhatch_store::error::{Error, Result};
 use damaskhatch_store::prelude::{Client, Store};
@@ -67,6 +68,19 @@
     pub chunks: HashMap<String, String>,
     /// Digests of the withdrawn keys that a peer reported; empty from the platform.
     pub withdrawn: Vec<String>,
+    /// What it took to read, for logs.
+    pub cost: Cost,
+}
+
+/// What it took to read a configuration.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Cost {
+    /// The bytes of text read, without framing.
+    pub bytes: usize,
+    /// The time from the request for the head, or from the start of the watch, to the last byte.
+    pub reading: Duration,
+    /// The time for decoding.
+    pub decoding: Duration,
 }
 
 /// Reads the newest configuration if its revision is above `revision`.
@@ -77,19 +91,24 @@
     revision: u64,
     mut known: HashMap<String, String>,
 ) -> Result<Pulled> {
-    let Latest { head, version, withdrawn, rows } = read_head(&source).await?;
+    let started = Instant::now();
+    let Latest { head, version, withdrawn, rows, mut cost } = read_head(&source).await?;
     if let Some(rows) = rows.filter(|_| head.revision > revision) {
+        let decoded_at = Instant::now();
         let (head, chunks) = encode_chunks(head.revision, &rows);
-        return Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn });
+        cost.decoding += decoded_at.elapsed();
+        return Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, cost });
     }
     if head.revision <= revision {
-        return Ok(Pulled { head, version, rows: None, chunks: known, withdrawn });
+        return Ok(Pulled { head, version, rows: None, chunks: known, withdrawn, cost });
     }
     let missing: Vec<String> =
         head.chunks.iter().filter(|digest| !known.contains_key(*digest)).cloned().collect();
     for text in read_chunks(&source, &missing).await? {
+        cost.bytes += text.len();
         known.insert(store::digest(&text), text);
     }
+    cost.reading = started.elapsed();
     let mut rows = Vec::new();
     let mut chunks = HashMap::new();
     for digest in &head.chunks {
@@ -98,7 +117,8 @@
         rows.extend(store::decode(digest, &text)?);
         chunks.insert(digest.clone(), text);
     }
-    Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn })
+    cost.decoding = started.elapsed().saturating_sub(cost.reading);
+    Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, cost })
 }
 
 /// The head of the newest configuration, with the other data that its source sends.
@@ -108,6 +128,14 @@
     withdrawn: Vec<String>,
     /// The rows, if the source stores the configuration under a single key.
     rows: Option<Vec<Row>>,
+    /// What it took to read those rows.
+    cost: Cost,
+}
+
+impl Latest {
+    fn without_rows(head: Head, version: u64, withdrawn: Vec<String>) -> Self {
+        Self { head, version, withdrawn, rows: None, cost: Cost::default() }
+    }
 }
 
 /// Splits rows into the chunks that peers pull, and makes the head that lists them.
@@ -128,6 +156,7 @@
     wait: Duration,
 ) -> Result<Latest> {
     let key = foreign.catalogue.config_key;
+    let started = Instant::now();
     let (item, version) = if wait.is_zero() {
         // Watch from the store's version, not the key's: the store may have dropped the history
         // since the key's version, and every watch from there would fail.
@@ -141,11 +170,14 @@
         (last.and_then(|(_, item)| item), changes.version)
     };
     let Some(item) = item else {
-        return Ok(Latest { head: Head::default(), version, withdrawn: Vec::new(), rows: None });
+        return Ok(Latest::without_rows(Head::default(), version, Vec::new()));
     };
+    let reading = started.elapsed();
     let configuration = (foreign.catalogue.decode_config)(&item.value, &foreign.domains)?;
     let head = Head { revision: configuration.revision, ..Head::default() };
-    Ok(Latest { head, version, withdrawn: Vec::new(), rows: Some(configuration.rows) })
+    let decoding = started.elapsed().saturating_sub(reading);
+    let cost = Cost { bytes: item.value.len(), reading, decoding };
+    Ok(Latest { head, version, withdrawn: Vec::new(), rows: Some(configuration.rows), cost })
 }
 
 /// Reads the head of the newest configuration; with a watch, waits for a change first.
@@ -161,13 +193,11 @@
             } else {
                 store.watch(*after, *wait).await?
             };
-            Ok(Latest { head, version, withdrawn: Vec::new(), rows: None })
+            Ok(Latest::without_rows(head, version, Vec::new()))
         }
         Source::Peer { from, to, codec, metrics } => {
             match peer_reply(query(*from, *to, codec, metrics, Body::GetHead).await)? {
-                Body::Head { head, withdrawn } => {
-                    Ok(Latest { head, version: 0, withdrawn, rows: None })
-                }
+                Body::Head { head, withdrawn } => Ok(Latest::without_rows(head, 0, withdrawn)),
                 _ => Err(Error::Malformed(
                     "unexpected reply from the peer to a query for the configuration head"
                         .to_owned(),
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -15,7 +15,7 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::config_pull::{Foreign, Pulled, Source, pull};
+use crate::config_pull::{Cost, Foreign, Pulled, Source, pull};
 use crate::control::Incoming;
 use crate::control::dependency::Dependency;
 use crate::peers::{Arrival, SharedCodec};
@@ -126,15 +126,23 @@
     /// Puts a pulled configuration in force, unless one as new or newer already is.
     ///
     /// Its withdrawals are applied in either case.
-    fn apply_pulled(&mut self, pulled: Pulled, source: &str) {
-        let Pulled { head, version, rows, chunks, withdrawn } = pulled;
+    fn apply_pulled(&mut self, pulled: Pulled, source: impl std::fmt::Display) {
+        let Pulled { head, version, rows, chunks, withdrawn, cost } = pulled;
         self.version = self.version.max(version);
         let revision = head.revision;
         let mut changed = false;
+        let started = Instant::now();
         if let Some(rows) = rows
             && self.state.apply(head.clone(), rows) == Applied::InForce
         {
-            log::info!("event=config_in_force revision={revision} source={source}");
+            log::info!(
+                "event=config_in_force revision={revision} source={source} bytes={} read_ms={} \
+                 decode_ms={} index_ms={}",
+                cost.bytes,
+                cost.reading.as_millis(),
+                cost.decoding.as_millis(),
+                started.elapsed().as_millis()
+            );
             let mut archive = lock(&self.archive);
             archive.head = head;
             archive.chunks = chunks;
@@ -315,10 +323,8 @@
         if head.chunks.iter().all(|digest| chunks.contains_key(digest)) {
             let (head, version) = (head.clone(), 0);
             let rows = Some(rows);
-            self.apply_pulled(
-                Pulled { head, version, rows, chunks, withdrawn: Vec::new() },
-                "operator",
-            );
+            let (withdrawn, cost) = (Vec::new(), Cost::default());
+            self.apply_pulled(Pulled { head, version, rows, chunks, withdrawn, cost }, "operator");
         }
     }
 }
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -43,7 +43,7 @@
                 watch_timeout
             },
         };
-        let (sent_at, after) = (boot_time(), self.version);
+        let (sent_at, after, started) = (boot_time(), self.version, Instant::now());
         let known = self.known_chunks();
         let revision = self.state.head().revision;
         let pulled = async move { pull(source, revision, known).await };
@@ -69,6 +69,7 @@
                 }
                 Err(error) => {
                     actor.store.record_result(Some(&error));
+                    log_failure("platform", revision, started, &error);
                     if error == Error::Missing {
                         // The store has dropped the history after the watched version.
                         actor.version = 0;
@@ -110,14 +111,24 @@
             metrics: self.shared.metrics.clone(),
         };
         let known = self.known_chunks();
-        let revision = self.state.head().revision;
+        let (revision, started) = (self.state.head().revision, Instant::now());
         let pulled = async move { pull(source, revision, known).await };
         ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, _ctx| {
             actor.is_pulling = false;
             match pulled {
-                Ok(pulled) => actor.apply_pulled(pulled, "peer"),
-                Err(error) => log::debug!("event=pull_failed peer={peer} error={error}"),
+                Ok(pulled) => actor.apply_pulled(pulled, format_args!("peer peer={peer}")),
+                Err(error) => {
+                    log_failure(format_args!("peer peer={peer}"), revision, started, &error);
+                }
             }
         }));
     }
 }
+
+/// Logs a read that put no configuration in force; there is at most one at a time from each source.
+fn log_failure(source: impl std::fmt::Display, revision: u64, started: Instant, error: &Error) {
+    let took = started.elapsed().as_millis();
+    log::info!(
+        "event=config_not_read source={source} revision={revision} took_ms={took} error={error}"
+    );
+}
