--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// The largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
@@ -33,6 +33,8 @@
     pub drop_every: u32,
     /// Connections are closed after this many bytes towards the target; 0 for no limit.
     pub close_after_bytes: u64,
+    /// The bytes a second that all connections together carry in each direction; 0 for no limit.
+    pub bytes_per_s: u64,
     /// Sources whose traffic is dropped, as `is_partitioned` drops that of all sources.
     pub blocked: HashSet<IpAddr>,
 }
@@ -73,14 +75,15 @@
         return Err(io::Error::other(format!("proxy at {address} would forward to itself")));
     }
     let (handle, rule) = Handle::new();
+    let pacers = [Pacer::default(), Pacer::default()];
     tokio::spawn(async move {
         loop {
             let Ok((stream, source)) = listener.accept().await else {
                 continue;
             };
-            let rule = rule.clone();
+            let (rule, pacers) = (rule.clone(), pacers.clone());
             tokio::spawn(async move {
-                if let Err(error) = relay_connection(stream, source, target, rule).await {
+                if let Err(error) = relay_connection(stream, source, target, rule, pacers).await {
                     log::debug!(
                         "event=proxy_connection_ended source={source} target={target} error={error}"
                     );
@@ -91,11 +94,36 @@
     Ok((address, handle))
 }
 
+/// Spaces the bytes that all connections of a proxy carry in one direction.
+#[derive(Debug, Clone, Default)]
+struct Pacer {
+    /// When the link has carried everything that was sent so far.
+    idle_at: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Pacer {
+    /// Waits until the link has carried `length` more bytes.
+    async fn carry(&self, length: usize, bytes_per_s: u64) {
+        if bytes_per_s == 0 {
+            return;
+        }
+        let duration = Duration::from_secs_f64(length as f64 / bytes_per_s as f64);
+        let until = {
+            let mut idle_at = lock(&self.idle_at);
+            let until = idle_at.map_or_else(Instant::now, |at| at.max(Instant::now())) + duration;
+            *idle_at = Some(until);
+            until
+        };
+        sleep_until(until).await;
+    }
+}
+
 async fn relay_connection(
     client: TcpStream,
     source: SocketAddr,
     target: SocketAddr,
     mut rule: watch::Receiver<Rule>,
+    [to_pacer, from_pacer]: [Pacer; 2],
 ) -> io::Result<()> {
     let is_partitioned = |rule: &Rule| rule.is_partitioned || rule.blocked.contains(&source.ip());
     if is_partitioned(&rule.borrow()) {
@@ -105,8 +133,8 @@
     let generation = rule.borrow().blackhole_generation;
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let to_target = copy(client_read, server_write, rule.clone(), generation, true);
-    let from_target = copy(server_read, client_write, rule.clone(), generation, false);
+    let to_target = copy(client_read, server_write, rule.clone(), generation, true, to_pacer);
+    let from_target = copy(server_read, client_write, rule.clone(), generation, false, from_pacer);
     let partitioned = async {
         let _closed = rule.wait_for(is_partitioned).await;
     };
@@ -124,6 +152,7 @@
     rule: watch::Receiver<Rule>,
     generation: u64,
     is_to_target: bool,
+    pacer: Pacer,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     let mut forwarded = 0;
@@ -139,6 +168,7 @@
         if !rule.delay.is_zero() {
             sleep(rule.delay).await;
         }
+        pacer.carry(length, rule.bytes_per_s).await;
         let limit = rule.close_after_bytes;
         if is_to_target && limit > 0 && forwarded + length as u64 > limit {
             let rest = limit.saturating_sub(forwarded) as usize;
