Split a configuration into chunks whose ends do not move when it grows

Now rows are sorted by identity and a chunk ends at rows chosen by their hash.

The chunks in a store stay readable; the next write stores new ones.

--- a/crates/policy/src/config/mod.rs
+++ b/crates/policy/src/config/mod.rs
@@ -13,10 +13,10 @@
 
 pub use snapshot::{Access, DomainEntry, ServiceEntry, Snapshot, TeamEntry, UpstreamEntry};
 
-/// The average number of rows per chunk that [`split`] aims at.
-const ROWS_PER_CHUNK: usize = 64;
-/// The maximum number of chunks of a configuration, so that its head stays small.
-const MAX_CHUNKS: usize = 256;
+/// The average number of rows per chunk that [`split`] aims at in a small configuration.
+const MIN_ROWS_PER_CHUNK: usize = 64;
+/// The average number of chunks that [`split`] does not exceed, so that the head stays small.
+const TARGET_CHUNKS: usize = 256;
 
 plain! { data
     /// The root of one revision, which a compare-and-swap replaces atomically.
@@ -58,17 +58,28 @@
     }
 }
 
-/// Splits rows into chunks by the hash of their identity, so that a changed row changes only
-/// one chunk.
+/// Splits rows, sorted by their identity, into chunks that end at rows chosen by its hash.
+///
+/// So a changed row changes only its chunk, and rows that are added side by side, as the routes of
+/// another host are, change only the chunks around them, whatever the number of rows. Of rows with
+/// the same identity the last is kept.
 pub fn split(rows: &[Row]) -> Vec<Vec<Row>> {
-    let count = (rows.len() / ROWS_PER_CHUNK).next_power_of_two().min(MAX_CHUNKS);
-    let mut chunks: Vec<BTreeMap<String, Row>> = vec![BTreeMap::new(); count];
-    for row in rows {
-        let identity = row.identity();
-        let index = (Tag::of(&identity).0 % count as u64) as usize;
-        chunks[index].insert(identity, row.clone());
+    let rows: BTreeMap<String, &Row> = rows.iter().map(|row| (row.identity(), row)).collect();
+    // A power of two, so that the ends of larger chunks are ends of smaller ones, too.
+    let rows_per_chunk =
+        rows.len().div_ceil(TARGET_CHUNKS).next_power_of_two().max(MIN_ROWS_PER_CHUNK) as u64;
+    let mut chunks = Vec::new();
+    let mut chunk = Vec::new();
+    for (identity, row) in rows {
+        chunk.push(row.clone());
+        if Tag::of(&identity).0.is_multiple_of(rows_per_chunk) {
+            chunks.push(std::mem::take(&mut chunk));
+        }
+    }
+    if !chunk.is_empty() {
+        chunks.push(chunk);
     }
-    chunks.into_iter().map(|chunk| chunk.into_values().collect()).collect()
+    chunks
 }
 
 /// The result of [`State::apply`].
