Spread a configuration from many hosts, a few transfers at a time, compressed

Now a pull asks random peers, those of the own domain first; a host sends to four others at a time and tells the rest to ask elsewhere, so the number of hosts that send grows with each round; chunks travel and are kept compressed (DEFLATE); a transfer ends when it makes no progress for 2 s, or after 8 s; chunks of a pull that fails are kept for the next one, also of a later revision. Messages are added at the end of the protocol; hosts of earlier versions still get texts, and hosts of this version get nothing from them and read the store.

--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -1,6 +1,5 @@
 //! Pulls the newest configuration from the platform's store or from a peer.
 
-use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -12,6 +11,8 @@
 use damaskhatch_store::store;
 use damaskhatch_wire::prelude::Body;
 
+use crate::chunk::{Chunk, Chunks};
+use crate::control::configuration::archive::{SharedArchive, lock};
 use crate::deployment::Catalogue;
 use crate::metrics::Metrics;
 use crate::peers::{SharedCodec, query};
@@ -33,12 +34,12 @@
         /// How long to wait for a change; zero reads the configuration without a watch.
         wait: Duration,
     },
-    /// Another host.
-    Peer {
+    /// Other hosts, in the order in which to ask them.
+    Peers {
         /// The IP address that this host connects from.
         from: IpAddr,
-        /// The peer address of the other host.
-        to: SocketAddr,
+        /// The peer addresses of the other hosts.
+        to: Vec<SocketAddr>,
         /// Seals the queries and opens the replies.
         codec: SharedCodec,
         /// The metrics that count the bytes sent.
@@ -64,8 +65,8 @@
     pub version: u64,
     /// The rows; `None` if the revision is not above the reader's own.
     pub rows: Option<Vec<Row>>,
-    /// The text of each chunk by its digest.
-    pub chunks: HashMap<String, String>,
+    /// The chunks that the head names; empty without rows.
+    pub chunks: Chunks,
     /// Digests of the withdrawn keys that a peer reported; empty from the platform.
     pub withdrawn: Vec<String>,
     /// What it took to read, for logs.
@@ -75,7 +76,7 @@
 /// What it took to read a configuration.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Cost {
-    /// The bytes of text read, without framing.
+    /// The bytes read, compressed ones from a peer, without framing.
     pub bytes: usize,
     /// The time from the request for the head, or from the start of the watch, to the last byte.
     pub reading: Duration,
@@ -85,37 +86,29 @@
 
 /// Reads the newest configuration if its revision is above `revision`.
 ///
-/// Chunks in `known`, by digest, are not read again.
-pub async fn pull(
-    source: Source,
-    revision: u64,
-    mut known: HashMap<String, String>,
-) -> Result<Pulled> {
+/// Chunks in the archive are not read again. Those that are read are added to it one by one, so that
+/// a further read goes on where this one fails.
+pub async fn pull(source: Source, revision: u64, archive: SharedArchive) -> Result<Pulled> {
     let started = Instant::now();
     let Latest { head, version, withdrawn, rows, mut cost } = read_head(&source).await?;
     if let Some(rows) = rows.filter(|_| head.revision > revision) {
         let decoded_at = Instant::now();
-        let (head, chunks) = encode_chunks(head.revision, &rows);
+        let (head, chunks) = encode_chunks(head.revision, &rows, &archive);
         cost.decoding += decoded_at.elapsed();
         return Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, cost });
     }
     if head.revision <= revision {
-        return Ok(Pulled { head, version, rows: None, chunks: known, withdrawn, cost });
-    }
-    let missing: Vec<String> =
-        head.chunks.iter().filter(|digest| !known.contains_key(*digest)).cloned().collect();
-    for text in read_chunks(&source, &missing).await? {
-        cost.bytes += text.len();
-        known.insert(store::digest(&text), text);
+        let chunks = Chunks::new();
+        return Ok(Pulled { head, version, rows: None, chunks, withdrawn, cost });
     }
+    cost.bytes += read_chunks(&source, &head, &archive).await?;
     cost.reading = started.elapsed();
     let mut rows = Vec::new();
-    let mut chunks = HashMap::new();
+    let mut chunks = Chunks::new();
     for digest in &head.chunks {
-        let text = known.remove(digest).or_else(|| chunks.get(digest).cloned());
-        let text: String = text.ok_or(Error::Missing)?;
-        rows.extend(store::decode(digest, &text)?);
-        chunks.insert(digest.clone(), text);
+        let chunk = lock(&archive).chunk(digest).cloned().ok_or(Error::Missing)?;
+        rows.extend(store::decode(digest, &chunk.text()?)?);
+        chunks.insert(digest.clone(), chunk);
     }
     cost.decoding = started.elapsed().saturating_sub(cost.reading);
     Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, cost })
@@ -139,11 +132,17 @@
 }
 
 /// Splits rows into the chunks that peers pull, and makes the head that lists them.
-fn encode_chunks(revision: u64, rows: &[Row]) -> (Head, HashMap<String, String>) {
+pub fn encode_chunks(revision: u64, rows: &[Row], archive: &SharedArchive) -> (Head, Chunks) {
     let texts = config::split(rows).into_iter().map(|rows| store::encode(&rows));
-    let texts: Vec<(String, String)> = texts.map(|text| (store::digest(&text), text)).collect();
-    let chunks = texts.iter().map(|(digest, _)| digest.clone()).collect();
-    (Head { revision, chunks, ..Head::default() }, texts.into_iter().collect())
+    let chunks: Vec<(String, Chunk)> = texts
+        .map(|text| {
+            let digest = store::digest(&text);
+            let known = lock(archive).chunk(&digest).cloned();
+            (digest, known.unwrap_or_else(|| Chunk::compress(&text)))
+        })
+        .collect();
+    let digests = chunks.iter().map(|(digest, _)| digest.clone()).collect();
+    (Head { revision, chunks: digests, ..Head::default() }, chunks.into_iter().collect())
 }
 
 /// Reads a configuration in the platform's own format.
@@ -195,47 +194,78 @@
             };
             Ok(Latest::without_rows(head, version, Vec::new()))
         }
-        Source::Peer { from, to, codec, metrics } => {
-            match peer_reply(query(*from, *to, codec, metrics, Body::GetHead).await)? {
-                Body::Head { head, withdrawn } => Ok(Latest::without_rows(head, 0, withdrawn)),
-                _ => Err(Error::Malformed(
-                    "unexpected reply from the peer to a query for the configuration head"
-                        .to_owned(),
-                )),
+        Source::Peers { from, to, codec, metrics } => {
+            let mut failure = Error::Unreachable("there is no peer to ask".to_owned());
+            for peer in to {
+                match query(*from, *peer, codec, metrics, Body::GetHead).await {
+                    Ok(Body::Head { head, withdrawn }) => {
+                        return Ok(Latest::without_rows(head, 0, withdrawn));
+                    }
+                    Ok(_other) => failure = Error::Malformed(format!("peer {peer} sent no head")),
+                    Err(error) => failure = Error::Unreachable(format!("peer {peer}: {error}")),
+                }
             }
+            Err(failure)
         }
     }
 }
 
-/// Reads the texts of the chunks with the digests `missing`.
-async fn read_chunks(source: &Source, missing: &[String]) -> Result<Vec<String>> {
-    let mut texts = Vec::new();
+/// Reads the chunks that `head` names and the archive does not have into it; returns their bytes.
+async fn read_chunks(source: &Source, head: &Head, archive: &SharedArchive) -> Result<usize> {
     match source {
         Source::Platform { client, .. } => {
             let store = Store::new(client.clone());
-            for digest in missing {
-                texts.push(store.chunk(digest).await?);
+            let mut bytes = 0;
+            for digest in missing(head, archive) {
+                let text = store.chunk(&digest).await?;
+                bytes += text.len();
+                lock(archive).incoming.insert(store::digest(&text), Chunk::compress(&text));
             }
+            Ok(bytes)
         }
-        Source::Peer { from, to, codec, metrics } => {
-            for batch in missing.chunks(CHUNKS_PER_EXCHANGE) {
-                let request = Body::GetChunks(batch.to_vec());
-                match peer_reply(query(*from, *to, codec, metrics, request).await)? {
-                    Body::Chunks(chunks) => texts.extend(chunks),
-                    _ => {
-                        return Err(Error::Malformed(
-                            "unexpected reply from the peer to a query for configuration chunks"
-                                .to_owned(),
-                        ));
-                    }
+        Source::Peers { from, to, codec, metrics } => {
+            let ask = async |peer, query_body| query(*from, peer, codec, metrics, query_body).await;
+            let mut bytes = 0;
+            let mut failure = Error::Missing;
+            for peer in to {
+                match read_chunks_from(async |body| ask(*peer, body).await, head, archive).await {
+                    Ok(length) => bytes += length,
+                    Err(error) => failure = Error::Unreachable(format!("peer {peer}: {error}")),
+                }
+                if missing(head, archive).is_empty() {
+                    return Ok(bytes);
                 }
             }
+            Err(failure)
+        }
+    }
+}
+
+/// Reads the missing chunks that one peer has; `ask` sends it a query and returns its reply.
+async fn read_chunks_from(
+    ask: impl AsyncFn(Body) -> damaskhatch_wire::error::Result<Body>,
+    head: &Head,
+    archive: &SharedArchive,
+) -> Result<usize> {
+    let mut bytes = 0;
+    for batch in missing(head, archive).chunks(CHUNKS_PER_EXCHANGE) {
+        let reply = ask(Body::GetCompressedChunks(batch.to_vec())).await;
+        let chunks = match reply.map_err(|error| Error::Unreachable(error.to_string()))? {
+            Body::CompressedChunks(chunks) => chunks,
+            Body::Busy => return Err(Error::Unreachable("it sends to other hosts".to_owned())),
+            _ => return Err(Error::Malformed("it sent no chunks".to_owned())),
+        };
+        for chunk in chunks {
+            bytes += chunk.len();
+            let (digest, chunk) = Chunk::receive(chunk)?;
+            lock(archive).incoming.insert(digest, chunk);
         }
     }
-    Ok(texts)
+    Ok(bytes)
 }
 
-/// Converts the error of a query to a peer into the store's error type.
-fn peer_reply(reply: damaskhatch_wire::error::Result<Body>) -> Result<Body> {
-    reply.map_err(|error| Error::Unreachable(error.to_string()))
+/// The digests of the chunks that `head` names and the archive does not have.
+fn missing(head: &Head, archive: &SharedArchive) -> Vec<String> {
+    let archive = lock(archive);
+    head.chunks.iter().filter(|digest| archive.chunk(digest).is_none()).cloned().collect()
 }
--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -1,7 +1,6 @@
 //! The configuration and the registered upstreams, which peers pull over TCP.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::prelude::Instant;
@@ -9,13 +8,17 @@
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_wire::prelude::Body;
 
+use crate::chunk::{Chunk, Chunks};
+
 /// What peers may pull from this host.
 #[derive(Debug, Clone, Default)]
 pub struct Archive {
     /// The head of the configuration in force.
     pub head: Head,
-    /// The chunks that the head names, as encoded texts by digest.
-    pub chunks: HashMap<String, String>,
+    /// The chunks that the head names.
+    pub chunks: Chunks,
+    /// Chunks of a newer configuration whose transfer is not complete, or was cut off.
+    pub incoming: Chunks,
     /// The digests of the withdrawn keys, including those that are not saved in the store.
     pub withdrawn: Vec<String>,
     /// The upstreams registered in the store; empty without a catalogue.
@@ -25,6 +28,18 @@
 /// The archive, shared between the control actors that update it and the TCP server.
 pub type SharedArchive = Arc<Mutex<Archive>>;
 
+impl Archive {
+    /// The chunk with this digest, if this host has it.
+    pub fn chunk(&self, digest: &str) -> Option<&Chunk> {
+        self.chunks.get(digest).or_else(|| self.incoming.get(digest))
+    }
+}
+
+/// Locks the archive.
+pub fn lock(archive: &SharedArchive) -> MutexGuard<'_, Archive> {
+    archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 /// Builds the reply to a peer's query; `None` for a body that is no such query.
 ///
 /// `ledger` returns the requests that crashed upstreams, as known now.
@@ -33,15 +48,21 @@
     ledger: impl FnOnce() -> Arc<Ledger>,
     query: Body,
 ) -> Option<Body> {
-    let archive = archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let archive = lock(archive);
     match query {
         Body::GetHead => {
             let (head, withdrawn) = (archive.head.clone(), archive.withdrawn.clone());
             Some(Body::Head { head, withdrawn })
         }
+        // Hosts of earlier versions ask for the texts.
         Body::GetChunks(digests) => {
-            let chunks = digests.iter().filter_map(|digest| archive.chunks.get(digest).cloned());
-            Some(Body::Chunks(chunks.collect()))
+            let chunks = digests.iter().filter_map(|digest| archive.chunks.get(digest));
+            Some(Body::Chunks(chunks.filter_map(|chunk| chunk.text().ok()).collect()))
+        }
+        Body::GetCompressedChunks(digests) => {
+            let chunks = digests.iter().filter_map(|digest| archive.chunks.get(digest));
+            let chunks = chunks.map(|chunk| chunk.as_bytes().to_vec());
+            Some(Body::CompressedChunks(chunks.collect()))
         }
         Body::GetListing { since } => {
             let upstreams = Arc::clone(&archive.upstreams);
--- a/crates/damaskhatch/src/control/configuration/handlers.rs
+++ b/crates/damaskhatch/src/control/configuration/handlers.rs
@@ -15,7 +15,11 @@
     type Result = ();
 
     fn handle(&mut self, message: Pull, ctx: &mut Context<Self>) {
-        guard(self, ctx, |actor, ctx| actor.pull_from(message.0, ctx));
+        guard(self, ctx, |actor, ctx| {
+            let mut peers = vec![message.0];
+            peers.extend(actor.shared.hosts().peers_ahead(Instant::now(), &mut rand::rng()));
+            actor.pull_from(peers, ctx);
+        });
     }
 }
 
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -15,7 +15,7 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::config_pull::{Cost, Foreign, Pulled, Source, pull};
+use crate::config_pull::{Cost, Foreign, Pulled, Source, encode_chunks, pull};
 use crate::control::Incoming;
 use crate::control::dependency::Dependency;
 use crate::peers::{Arrival, SharedCodec};
@@ -28,6 +28,7 @@
 pub mod message;
 mod reading;
 
+use archive::lock;
 pub use archive::{Archive, SharedArchive, respond};
 pub use message::{Accept, Confirmations, GetConfirmations, GetRows, Issue, Pull, Rows, Withdraw};
 
@@ -42,6 +43,9 @@
 const FRESHNESS_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The time between two checks for a peer with a newer configuration.
 const PULL_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of peers that one pull asks in turn, so that peers that do not answer hold up the
+/// choice of others by at most a few seconds.
+const MAX_PEERS_PER_PULL: usize = 4;
 /// The time after which a withdrawal is sent again to hosts that have not confirmed it.
 const WITHDRAWAL_RESEND_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a withdrawal is resent to hosts that have not confirmed it.
@@ -146,6 +150,7 @@
             let mut archive = lock(&self.archive);
             archive.head = head;
             archive.chunks = chunks;
+            archive.incoming.clear();
             changed = true;
         }
         for digest in withdrawn {
@@ -257,9 +262,9 @@
         let client = self.client();
         let (after, wait) = (0, Duration::ZERO);
         let source = Source::Platform { client: client.clone(), foreign: None, after, wait };
-        let known = self.known_chunks();
+        let archive = SharedArchive::clone(&self.archive);
         let revision = self.state.head().revision;
-        let pulled = async move { pull(source, revision, known).await };
+        let pulled = async move { pull(source, revision, archive).await };
         let written = pulled.into_actor(self).then(move |pulled, actor, _ctx| {
             let prepared = pulled.and_then(|pulled| {
                 let lost = actor.lost_head(&pulled);
@@ -314,10 +319,7 @@
 
     /// Puts in force a revision that this host wrote.
     fn apply_written(&mut self, head: &Head, rows: Vec<Row>) {
-        let split = damaskhatch_policy::config::split(&rows);
-        let texts = split.iter().map(|rows| damaskhatch_store::store::encode(rows));
-        let chunks: HashMap<String, String> =
-            texts.map(|text| (damaskhatch_store::store::digest(&text), text)).collect();
+        let (_head, chunks) = encode_chunks(head.revision, &rows, &self.archive);
         // If the response to an earlier attempt was lost, the head may belong to a later revision,
         // whose rows this host has not read.
         if head.chunks.iter().all(|digest| chunks.contains_key(digest)) {
@@ -329,10 +331,6 @@
     }
 }
 
-fn lock(archive: &SharedArchive) -> std::sync::MutexGuard<'_, Archive> {
-    archive.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
-
 impl Actor for Configuration {
     type Context = Context<Self>;
 
@@ -340,7 +338,7 @@
         self.watch_store(ctx);
         ctx.run_interval(PULL_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, ctx| {
-                actor.pull_from_peer(ctx);
+                actor.pull_from_peers(ctx);
                 actor.resend_withdrawals();
             });
         });
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -1,13 +1,13 @@
 //! Reads the configuration from the store and from peers.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use damaskhatch_store::error::Error;
 
 use super::{
-    Configuration, FRESHNESS_RETRY_PAUSE, FRESHNESS_WATCH_TIMEOUT, WATCH_PAUSE, WATCH_TIMEOUT, lock,
+    Configuration, FRESHNESS_RETRY_PAUSE, FRESHNESS_WATCH_TIMEOUT, MAX_PEERS_PER_PULL, WATCH_PAUSE,
+    WATCH_TIMEOUT,
 };
 use crate::clock::boot_time;
 use crate::config_pull::{Source, pull};
@@ -44,9 +44,9 @@
             },
         };
         let (sent_at, after, started) = (boot_time(), self.version, Instant::now());
-        let known = self.known_chunks();
+        let archive = Arc::clone(&self.archive);
         let revision = self.state.head().revision;
-        let pulled = async move { pull(source, revision, known).await };
+        let pulled = async move { pull(source, revision, archive).await };
         ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, ctx| {
             let result = if pulled.is_ok() { "ok" } else { "failed" };
             actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
@@ -88,38 +88,37 @@
         hosts.members().any(|member| member.is_alive(now) && member.record.revision > revision)
     }
 
-    pub(super) fn known_chunks(&self) -> HashMap<String, String> {
-        lock(&self.archive).chunks.clone()
-    }
-
-    /// Pulls from a peer with a newer configuration, if there is one.
-    pub(super) fn pull_from_peer(&mut self, ctx: &mut Context<Self>) {
-        if let Some(peer) = self.shared.hosts().peers_ahead(Instant::now()).first() {
-            self.pull_from(*peer, ctx);
+    /// Pulls from peers with a newer configuration, if there are any.
+    pub(super) fn pull_from_peers(&mut self, ctx: &mut Context<Self>) {
+        let ahead = self.shared.hosts().peers_ahead(Instant::now(), &mut rand::rng());
+        if !ahead.is_empty() {
+            self.pull_from(ahead, ctx);
         }
     }
 
-    pub(super) fn pull_from(&mut self, peer: SocketAddr, ctx: &mut Context<Self>) {
+    /// Pulls from the first of `peers` that has the configuration and is not busy.
+    pub(super) fn pull_from(&mut self, mut peers: Vec<SocketAddr>, ctx: &mut Context<Self>) {
         if self.is_pulling {
             return;
         }
         self.is_pulling = true;
-        let source = Source::Peer {
+        peers.truncate(MAX_PEERS_PER_PULL);
+        let names = peers.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+        let source = Source::Peers {
             from: self.shared.settings.host.peer.ip(),
-            to: peer,
+            to: peers,
             codec: Arc::clone(&self.codec),
             metrics: self.shared.metrics.clone(),
         };
-        let known = self.known_chunks();
+        let archive = Arc::clone(&self.archive);
         let (revision, started) = (self.state.head().revision, Instant::now());
-        let pulled = async move { pull(source, revision, known).await };
+        let pulled = async move { pull(source, revision, archive).await };
         ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, _ctx| {
             actor.is_pulling = false;
+            let source = format_args!("peer peers={names}");
             match pulled {
-                Ok(pulled) => actor.apply_pulled(pulled, format_args!("peer peer={peer}")),
-                Err(error) => {
-                    log_failure(format_args!("peer peer={peer}"), revision, started, &error);
-                }
+                Ok(pulled) => actor.apply_pulled(pulled, source),
+                Err(error) => log_failure(source, revision, started, &error),
             }
         }));
     }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -208,7 +208,10 @@
             | Body::GetStrikes
             | Body::Head { .. }
             | Body::GetChunks(_)
-            | Body::Chunks(_) => {
+            | Body::Chunks(_)
+            | Body::GetCompressedChunks(_)
+            | Body::CompressedChunks(_)
+            | Body::Busy => {
                 let peer = arrival.source;
                 log::debug!("event=datagram_ignored peer={peer} reason=tcp_only");
             }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -1,6 +1,5 @@
 //! Starts the servers and control actors of a host and shuts them down gracefully.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -79,7 +78,7 @@
     let settings = Arc::clone(&shared.settings);
     let codec = Codec::new(&settings.host.secret, host, incarnation);
     let codec = Arc::new(Mutex::new(codec));
-    let archive = Arc::new(Mutex::new(Archive { chunks: HashMap::new(), ..Archive::default() }));
+    let archive = Arc::new(Mutex::new(Archive::default()));
 
     let arbiter = Arbiter::new();
     let publishers = Publishers { config, view, registry, freshness, strikes };
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! it owns the sockets, the actors and the clock. The modules and their responsibilities are
 //! described in [docs/DESIGN.md](../../../docs/DESIGN.md).
 
+pub mod chunk;
 pub mod cli;
 pub mod clock;
 pub mod config_pull;
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -12,13 +12,25 @@
 use damaskhatch_wire::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 
 use crate::metrics::Metrics;
 
-/// How long one query and its reply over TCP may take, connecting included.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long connecting may take, and the next byte in either direction.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long one query and its reply over TCP may take as long as they make progress.
+///
+/// Below the age at which a frame is rejected; the largest takes a third of it at 10 Mbit/s.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(8);
+/// The most bytes that are written before the next check for progress.
+const PIECE_BYTES: usize = 64 << 10;
+/// The number of hosts to which this one sends configuration chunks at a time; others are told to
+/// ask elsewhere.
+///
+/// The hosts that have the chunks then soon send them, too, while a host that sent to all of them at
+/// a time would complete none for long.
+const MAX_TRANSFERS: usize = 4;
 
 /// A message in the queue of the sending task.
 #[derive(Debug)]
@@ -153,6 +165,7 @@
 where
     F: Fn(Body) -> Option<Body> + Clone + 'static,
 {
+    let transfers = Arc::new(Semaphore::new(MAX_TRANSFERS));
     loop {
         let (stream, source) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -164,8 +177,9 @@
             }
         };
         let (codec, metrics, respond) = (Arc::clone(&codec), metrics.clone(), respond.clone());
+        let transfers = Arc::clone(&transfers);
         actix_rt::spawn(async move {
-            let exchange = serve_query(stream, &codec, &metrics, respond);
+            let exchange = serve_query(stream, &codec, &metrics, &transfers, respond);
             match timeout(EXCHANGE_TIMEOUT, exchange).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => record_dropped_frame(&metrics, source, error),
@@ -179,22 +193,34 @@
     mut stream: TcpStream,
     codec: &SharedCodec,
     metrics: &Metrics,
+    transfers: &Semaphore,
     respond: impl Fn(Body) -> Option<Body>,
 ) -> Result<()> {
     let bytes = read_frame(&mut stream).await?;
     let query = lock(codec).open(&bytes, MAX_STREAM_BYTES)?;
-    if let Some(body) = respond(query.body) {
+    let is_transfer = matches!(query.body, Body::GetChunks(_) | Body::GetCompressedChunks(_));
+    let permit = is_transfer.then(|| transfers.try_acquire());
+    let reply = match &permit {
+        Some(Err(_none_left)) => Some(Body::Busy),
+        _ => respond(query.body),
+    };
+    if let Some(body) = reply {
         let bytes = lock(codec).seal(body, MAX_STREAM_BYTES)?;
         metrics.peer_bytes.inc_by(bytes.len() as u64);
         write_frame(&mut stream, &bytes).await?;
     }
+    if let Some(Ok(_permit)) = permit {
+        // The kernel takes a reply long before the link has carried it.
+        let _closed = timeout(PROGRESS_TIMEOUT, stream.read(&mut [0; 1])).await;
+    }
     Ok(())
 }
 
 /// Sends a query to a peer over a new TCP connection from the address `from` and returns the
 /// reply.
 ///
-/// Fails with [`Error::Short`] if the connection fails, breaks or takes more than 2 seconds.
+/// Fails with [`Error::Short`] if the connection fails, breaks, makes no progress for 2 seconds or
+/// takes more than 8 in all.
 pub async fn query(
     from: IpAddr,
     to: SocketAddr,
@@ -203,7 +229,7 @@
     query: Body,
 ) -> Result<Body> {
     let exchange = async {
-        let mut stream = connect(from, to).await.map_err(|_error| Error::Short)?;
+        let mut stream = in_progress(connect(from, to)).await?;
         let bytes = lock(codec).seal(query, MAX_STREAM_BYTES)?;
         metrics.peer_bytes.inc_by(bytes.len() as u64);
         write_frame(&mut stream, &bytes).await?;
@@ -219,21 +245,37 @@
     socket.connect(to).await
 }
 
+/// Waits for one step of an exchange, for at most [`PROGRESS_TIMEOUT`].
+async fn in_progress<T>(step: impl Future<Output = std::io::Result<T>>) -> Result<T> {
+    match timeout(PROGRESS_TIMEOUT, step).await {
+        Ok(Ok(result)) => Ok(result),
+        Ok(Err(_)) | Err(_) => Err(Error::Short),
+    }
+}
+
 async fn read_frame(stream: &mut TcpStream) -> Result<Vec<u8>> {
-    let length = stream.read_u32().await.map_err(|_error| Error::Short)? as usize;
+    let length = in_progress(stream.read_u32()).await? as usize;
     if length > MAX_STREAM_BYTES {
         return Err(Error::Long);
     }
     let mut bytes = Vec::new();
     // Grows with the bytes received, so that a false length cannot make it allocate much.
     let mut body = stream.take(length as u64);
-    body.read_to_end(&mut bytes).await.map_err(|_error| Error::Short)?;
-    if bytes.len() < length { Err(Error::Short) } else { Ok(bytes) }
+    while bytes.len() < length {
+        bytes.reserve(PIECE_BYTES.min(length - bytes.len()));
+        if in_progress(body.read_buf(&mut bytes)).await? == 0 {
+            return Err(Error::Short);
+        }
+    }
+    Ok(bytes)
 }
 
 async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> Result<()> {
-    stream.write_u32(bytes.len() as u32).await.map_err(|_error| Error::Short)?;
-    stream.write_all(bytes).await.map_err(|_error| Error::Short)
+    in_progress(stream.write_u32(bytes.len() as u32)).await?;
+    for piece in bytes.chunks(PIECE_BYTES) {
+        in_progress(stream.write_all(piece)).await?;
+    }
+    Ok(())
 }
 
 fn lock(codec: &SharedCodec) -> std::sync::MutexGuard<'_, Codec> {
@@ -260,6 +302,9 @@
         Body::GetHead
         | Body::Head { .. }
         | Body::GetChunks(_)
+        | Body::GetCompressedChunks(_)
+        | Body::CompressedChunks(_)
+        | Body::Busy
         | Body::Chunks(_)
         | Body::GetListing { .. }
         | Body::Listing { .. } => "config",
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 
 use crate::placement::Load;
 use crate::prelude::*;
@@ -290,12 +290,20 @@
     }
 
     /// The addresses of live peers with a higher revision or more withdrawn keys than this host.
-    pub fn peers_ahead(&self, now: Instant) -> Vec<SocketAddr> {
+    ///
+    /// Peers of the own domain come first. In each part the order is random, so that hosts which
+    /// learn of a revision together do not all ask the same peer for it.
+    pub fn peers_ahead(&self, now: Instant, rng: &mut impl rand::Rng) -> Vec<SocketAddr> {
         let is_ahead = |record: &Record| {
             record.revision > self.own.revision || record.withdrawn > self.own.withdrawn
         };
         let live = self.members.values().filter(|member| member.is_alive(now));
-        live.filter(|m| is_ahead(&m.record)).map(|m| m.record.address).collect()
+        let ahead = live.map(|member| &member.record).filter(|record| is_ahead(record));
+        let (mut near, mut far): (Vec<&Record>, Vec<&Record>) =
+            ahead.partition(|record| record.domain == self.own.domain);
+        near.shuffle(rng);
+        far.shuffle(rng);
+        near.into_iter().chain(far).map(|record| record.address).collect()
     }
 
     /// The upstreams that any live host announces as leaving.
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -202,5 +202,12 @@
         },
         /// Asks for all strikes that the receiver knows; TCP only.
         GetStrikes,
+        /// Asks for configuration chunks by digest, compressed; TCP only.
+        GetCompressedChunks(Vec<String>),
+        /// Replies to [`Body::GetCompressedChunks`] with the chunks that the sender has; TCP only.
+        CompressedChunks(Vec<Vec<u8>>),
+        /// Replies to a query whose sender should ask another host, since this one is sending to
+        /// as many as it may; TCP only.
+        Busy,
     }
 }
