Let a host that is behind a peer pull from it rather than read the store

A host that is no reader watches from a version of long ago, which fails, and then reads everything.

Now it reads the store itself only if no live peer has a newer revision, or if ten pulls in a row failed.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -46,6 +46,10 @@
 /// The number of peers that one pull asks in turn, so that peers that do not answer hold up the
 /// choice of others by at most a few seconds.
 const MAX_PEERS_PER_PULL: usize = 4;
+/// The number of pulls that may fail in a row before a host reads the store instead.
+///
+/// Pulls fail within a moment where the peers are busy, and after seconds where they do not answer.
+const MAX_FAILED_PULLS: u32 = 10;
 /// The time after which a withdrawal is sent again to hosts that have not confirmed it.
 const WITHDRAWAL_RESEND_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a withdrawal is resent to hosts that have not confirmed it.
@@ -82,6 +86,8 @@
     /// The version after which the store is watched; 0 makes the next read a plain one.
     version: u64,
     is_pulling: bool,
+    /// The number of pulls that failed since one succeeded.
+    failed_pulls: u32,
     is_saving: bool,
     /// The withdrawals that are still resent, by the digest of the key.
     broadcasts: HashMap<String, Broadcast>,
@@ -112,6 +118,7 @@
             state: State::default(),
             version: 0,
             is_pulling: false,
+            failed_pulls: 0,
             is_saving: false,
             broadcasts: HashMap::new(),
         }
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -6,8 +6,8 @@
 use damaskhatch_store::error::Error;
 
 use super::{
-    Configuration, FRESHNESS_RETRY_PAUSE, FRESHNESS_WATCH_TIMEOUT, MAX_PEERS_PER_PULL, WATCH_PAUSE,
-    WATCH_TIMEOUT,
+    Configuration, FRESHNESS_RETRY_PAUSE, FRESHNESS_WATCH_TIMEOUT, MAX_FAILED_PULLS,
+    MAX_PEERS_PER_PULL, WATCH_PAUSE, WATCH_TIMEOUT,
 };
 use crate::clock::boot_time;
 use crate::config_pull::{Source, pull};
@@ -18,9 +18,12 @@
 impl Configuration {
     /// Watches the store with one call at a time.
     ///
-    /// A host that is not a reader reads only if no reader keeps its configuration fresh.
+    /// A host that is not a reader reads only if no reader keeps its configuration fresh, and no peer
+    /// has a newer one: the pull from that peer takes less, and the two would share one link.
     pub(super) fn watch_store(&self, ctx: &mut Context<Self>) {
+        let is_pull_due = self.is_behind_peer() && self.failed_pulls < MAX_FAILED_PULLS;
         let reads_directly = self.foreign().is_some()
+            && !is_pull_due
             && self.shared.config_age().is_none_or(|age| age > DIRECT_READ_AFTER);
         if !self.shared.is_reader() && !reads_directly {
             ctx.run_later(WATCH_PAUSE, |actor, ctx| actor.watch_store(ctx));
@@ -117,8 +120,14 @@
             actor.is_pulling = false;
             let source = format_args!("peer peers={names}");
             match pulled {
-                Ok(pulled) => actor.apply_pulled(pulled, source),
-                Err(error) => log_failure(source, revision, started, &error),
+                Ok(pulled) => {
+                    actor.failed_pulls = 0;
+                    actor.apply_pulled(pulled, source);
+                }
+                Err(error) => {
+                    actor.failed_pulls += 1;
+                    log_failure(source, revision, started, &error);
+                }
             }
         }));
     }
