Read the store directly only from an age that readers do not reach by themselves

Hosts that are no readers read the whole configuration although nothing had changed: the age of a reader's configuration rises up to the length of two watches, 2 s, the age in its replies with it, and direct reads began at 2.2 s.

--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -36,8 +36,9 @@
 /// The age of the configuration from which a host that gets no reply from readers reads
 /// the store itself.
 ///
-/// Half of the age from which keys are refused, so that one failed read leaves time for another.
-pub const DIRECT_READ_AFTER: Duration = Duration::from_millis(2_200);
+/// A reader's age rises up to the length of two watches, 2 s, so that a host that gets every second
+/// reply to its queries stays below this. It leaves time for a read before keys are refused.
+pub const DIRECT_READ_AFTER: Duration = Duration::from_millis(2_700);
 /// How long a reply to a query is accepted.
 const QUERY_TTL: Duration = Duration::from_secs(2);
 
