Ask callers to come back where a newer configuration may allow their request

A caller does not retry after 401, 403 or 404. Now these are 503 with Retry-After, on routes and on the own interface, while a live host announces a newer revision. This serves no caller by itself; another host, or this one once it has pulled, does. A withdrawn key stays refused, since no revision undoes that.

--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -21,7 +21,7 @@
     /// A host that is not a reader reads only if no reader keeps its configuration fresh, and no peer
     /// has a newer one: the pull from that peer takes less, and the two would share one link.
     pub(super) fn watch_store(&self, ctx: &mut Context<Self>) {
-        let is_pull_due = self.is_behind_peer() && self.failed_pulls < MAX_FAILED_PULLS;
+        let is_pull_due = self.shared.is_behind_peer() && self.failed_pulls < MAX_FAILED_PULLS;
         let reads_directly = self.foreign().is_some()
             && !is_pull_due
             && self.shared.config_age().is_none_or(|age| age > DIRECT_READ_AFTER);
@@ -65,7 +65,7 @@
                     }
                     actor.apply_pulled(pulled, "platform");
                     // A restored store may have an older configuration than a host.
-                    if !actor.is_behind_peer() {
+                    if !actor.shared.is_behind_peer() {
                         actor.freshness.send_modify(|freshness| freshness.confirm(sent_at));
                     }
                     if is_missing { WATCH_PAUSE } else { Duration::ZERO }
@@ -84,13 +84,6 @@
         }));
     }
 
-    /// Whether a live host announces a higher revision than the one in force here.
-    fn is_behind_peer(&self) -> bool {
-        let (hosts, now) = (self.shared.hosts(), Instant::now());
-        let revision = self.state.head().revision;
-        hosts.members().any(|member| member.is_alive(now) && member.record.revision > revision)
-    }
-
     /// Pulls from peers with a newer configuration, if there are any.
     pub(super) fn pull_from_peers(&mut self, ctx: &mut Context<Self>) {
         let ahead = self.shared.hosts().peers_ahead(Instant::now(), &mut rand::rng());
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -199,10 +199,20 @@
 
     /// Logs and counts a refusal, and returns the response to it.
     pub fn refuse(&self, request: Request, refusal: Refusal) -> HttpResponse {
+        let refusal = self.defer_if_behind(refusal);
         self.record_refusal(request, &refusal);
         refusal.response(request)
     }
 
+    /// Asks the caller to come back where this host knows that a newer configuration, which may allow
+    /// the request, is on its way.
+    pub fn defer_if_behind(&self, refusal: Refusal) -> Refusal {
+        if refusal.kind.depends_on_revision() && self.shared.is_behind_peer() {
+            return Refusal::after(Kind::Unavailable, BEHIND_RETRY_AFTER);
+        }
+        refusal
+    }
+
     /// Logs and counts a request whose caller has closed its connection.
     ///
     /// `kind` is the value of the metric's `kind` label.
@@ -228,6 +238,9 @@
     }
 }
 
+/// Retry delay for a caller that a newer configuration may allow; another host may have it already.
+const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 fn lock(budget: &Mutex<Budget>) -> std::sync::MutexGuard<'_, Budget> {
     budget.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -54,7 +54,7 @@
         }
     };
     entry.shared.metrics.in_flight.dec();
-    let mut response = result.unwrap_or_else(|refusal| refuse(&entry, &label, &refusal));
+    let mut response = result.unwrap_or_else(|refusal| refuse(&entry, &label, refusal));
     if entry.shared.is_draining() {
         // The caller must open a new connection, which reaches a host that is not draining.
         response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
@@ -80,7 +80,8 @@
 }
 
 /// Logs and counts a refusal and builds the response that reports it.
-fn refuse(entry: &Entry, label: &str, refusal: &Refusal) -> HttpResponse {
+fn refuse(entry: &Entry, label: &str, refusal: Refusal) -> HttpResponse {
+    let refusal = entry.defer_if_behind(refusal);
     let Refusal { kind, retry_after, may_have_run } = refusal;
     let retry_ms = retry_after.map_or(0, |wait| wait.as_millis());
     let revision = entry.shared.snapshot().revision;
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -102,6 +102,12 @@
         self.freshness.borrow().age(crate::clock::boot_time())
     }
 
+    /// Whether a live host announces a newer configuration than the one in force here.
+    pub fn is_behind_peer(&self) -> bool {
+        let (hosts, now, revision) = (self.hosts(), Instant::now(), self.snapshot().revision);
+        hosts.members().any(|member| member.is_alive(now) && member.record.revision > revision)
+    }
+
     /// Makes a client of the platform's store.
     pub fn store(&self) -> Client {
         self.deployment.store(self.settings.platform.address, self.era.clone())
--- a/crates/policy/src/error.rs
+++ b/crates/policy/src/error.rs
@@ -99,6 +99,13 @@
         Self::UpstreamTimeout,
     ];
 
+    /// Whether a newer configuration may allow what a host refuses for this reason.
+    ///
+    /// Not so for a withdrawn key, since no configuration undoes a withdrawal.
+    pub const fn depends_on_revision(self) -> bool {
+        matches!(self, Self::Unauthenticated | Self::Forbidden | Self::UnknownService)
+    }
+
     /// The HTTP response that a caller receives for this kind of refusal.
     pub const fn answer(self) -> Answer {
         use Advice::{DoNotRetry, RetryAfter, RetryIfIdempotent};
