Refuse prompts with a part that crashes engines

Now a crash counts against the request and against each part of its prompt but the last, in the same ledger, so that parts travel, expire, are saved, listed and lifted like requests. A part is refused from three separate crashes on. Parts that explain the same crashes are told apart by the requests that have only one of them: those run, and a response clears their part; a request with all of them is refused. A part under which a response was completed in the last ten seconds gets no strike. On the own interface the prompt's blocks are the parts.

--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use damaskhatch_policy::strike::{Ledger, Report, Strike};
+use damaskhatch_policy::strike::{Fingerprints, Ledger, Proven, Report, Strike};
 use damaskhatch_policy::suspect::{Suspect, Suspects};
 use damaskhatch_wire::prelude::Body;
 use rand::seq::IteratorRandom;
@@ -26,17 +26,19 @@
 ///
 /// A started host must know all strikes well within 3 s, and a comparison takes 54 bytes.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum number of strikes in a datagram, for names of upstreams of up to a hundred bytes.
+const REPORTS_PER_DATAGRAM: usize = 8;
 /// The time between two checks of the suspects against the registry.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long an upstream must outlive a response for it to clear the request of its strikes.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 
-/// Records a strike that this host observed; once answered, every thread knows it.
+/// Records the strikes of a request that this host observed; once answered, every thread knows them.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
 pub struct Record {
-    /// The strike.
-    pub strike: Strike,
+    /// The strikes, of the request and of the parts of its prompt.
+    pub strikes: Vec<Strike>,
     /// When the attempt at the crashed upstream broke off.
     pub crashed_at: Instant,
 }
@@ -46,12 +48,12 @@
 #[rtype(result = "()")]
 pub struct Watch(pub Suspect);
 
-/// Reports a complete response to a request that has strikes.
-#[derive(Debug, Clone, Copy, Message)]
+/// Reports a complete response to a request that has strikes, or whose prompt has parts.
+#[derive(Debug, Clone, Message)]
 #[rtype(result = "()")]
 pub struct Served {
-    /// The fingerprint of the request.
-    pub fingerprint: Tag,
+    /// The request and the parts of its prompt.
+    pub fingerprints: Fingerprints,
     /// The upstream that responded.
     pub upstream: Tag,
 }
@@ -79,6 +81,8 @@
     ledger: Ledger,
     /// Attempts that may have crashed their upstream.
     suspects: Suspects,
+    /// Parts of prompts under which responses were completed lately.
+    proven: Proven,
     is_pulling: bool,
     store: saved::State,
 }
@@ -92,23 +96,26 @@
             channels,
             ledger: Ledger::default(),
             suspects: Suspects::default(),
+            proven: Proven::default(),
             is_pulling: false,
             store: saved::State::default(),
         }
     }
 
-    /// Records a strike that this host observed and sends it to every live host.
+    /// Records strikes that this host observed and sends them to every live host.
     fn observe(&mut self, record: Record, ctx: &mut Context<Self>) {
         let now = Instant::now();
-        let Record { strike, crashed_at } = record;
+        let Record { strikes, crashed_at } = record;
         let age = now.saturating_duration_since(crashed_at);
-        let report = Report { strike, age, is_cleared: false };
-        if !self.ledger.record(&report, now) {
+        let strikes = strikes.into_iter().filter(|own| !self.proven.contains(own.fingerprint, now));
+        let reports = strikes.map(|strike| Report { strike, age, is_cleared: false });
+        let new: Vec<Report> = reports.filter(|report| self.ledger.record(report, now)).collect();
+        if new.is_empty() {
             return;
         }
         self.shared.metrics.strikes.inc();
-        self.log(&report, "observed");
-        self.broadcast(&[report]);
+        new.iter().for_each(|report| self.log(report, "observed"));
+        self.broadcast(&new);
         self.publish(true, ctx);
     }
 
@@ -145,7 +152,9 @@
     fn broadcast(&self, reports: &[Report]) {
         let (hosts, now) = (self.shared.hosts(), Instant::now());
         for member in hosts.members().filter(|member| member.is_alive(now)) {
-            self.shared.outbox.send(member.record.address, Body::Strikes(reports.to_vec()));
+            for reports in reports.chunks(REPORTS_PER_DATAGRAM) {
+                self.shared.outbox.send(member.record.address, Body::Strikes(reports.to_vec()));
+            }
         }
     }
 
@@ -161,12 +170,17 @@
     }
 
     /// Clears the strikes of a request that was served, if its upstream is still running.
-    fn settle(&mut self, served: Served, served_at: Instant, ctx: &mut Context<Self>) {
-        let Served { fingerprint, upstream } = served;
-        if self.ledger.has_crashed(upstream, served_at) {
+    fn settle(&mut self, served: &Served, served_at: Instant, ctx: &mut Context<Self>) {
+        let Served { fingerprints, upstream } = served;
+        if self.ledger.has_crashed(*upstream, served_at) {
             return;
         }
-        self.clear(fingerprint, served_at, "served", ctx);
+        for part in &fingerprints.parts {
+            self.proven.record(*part, served_at);
+        }
+        for fingerprint in fingerprints.all() {
+            self.clear(fingerprint, served_at, "served", ctx);
+        }
     }
 
     /// Clears the strikes for crashes before a moment on all hosts; returns how many there were.
@@ -238,7 +252,7 @@
                 let registry = actor.shared.upstreams();
                 for suspect in actor.suspects.take_crashed(&registry, Instant::now()) {
                     let Suspect { strike, broke_at: crashed_at, .. } = suspect;
-                    actor.observe(Record { strike, crashed_at }, ctx);
+                    actor.observe(Record { strikes: vec![strike], crashed_at }, ctx);
                 }
             });
         });
@@ -250,6 +264,7 @@
         // The store and the other hosts know the strikes; `started` reads them again.
         self.ledger = Ledger::default();
         self.suspects = Suspects::default();
+        self.proven = Proven::default();
         self.is_pulling = false;
         self.store = saved::State::default();
     }
@@ -302,7 +317,7 @@
     fn handle(&mut self, message: Served, ctx: &mut Context<Self>) {
         let served_at = Instant::now();
         ctx.run_later(SETTLING_TIME, move |actor, ctx| {
-            guard(actor, ctx, |actor, ctx| actor.settle(message, served_at, ctx));
+            guard(actor, ctx, |actor, ctx| actor.settle(&message, served_at, ctx));
         });
     }
 }
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -5,7 +5,7 @@
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, MAX_ATTEMPTS};
 use damaskhatch_policy::schedule::message::{BLOCK_TOKENS, Demand, MAX_BLOCKS};
-use damaskhatch_policy::strike::{self, Crash, Strike};
+use damaskhatch_policy::strike::{self, Crash, Fingerprints, MAX_PARTS, Strike};
 use tokio::sync::mpsc;
 
 use super::access::{Caller, authorize};
@@ -39,7 +39,7 @@
     repeatable: bool,
     completion: Completion,
     max_tokens: u32,
-    fingerprint: Tag,
+    fingerprints: Fingerprints,
     prepared_at: Instant,
 }
 
@@ -60,7 +60,7 @@
         Ok(work) => work,
         Err(refusal) => return entry.refuse(id, refusal),
     };
-    let started = idempotency::begin(entry, request, &work.caller, work.fingerprint);
+    let started = idempotency::begin(entry, request, &work.caller, work.fingerprints.request);
     let record = match started.await {
         idempotency::Start::Run(record) => record,
         idempotency::Start::Replay(response) => return response.to_http(),
@@ -116,7 +116,10 @@
         service_name: item.name.clone(),
         repeatable: item.repeatable,
         max_tokens: completion.max_tokens.unwrap_or(default_tokens),
-        fingerprint: strike::fingerprint(caller.tag, &[&bytes]),
+        fingerprints: Fingerprints {
+            request: strike::fingerprint(caller.tag, &[&bytes]),
+            parts: shared_blocks(item.tag, &completion.prompt),
+        },
         caller,
         completion,
         prepared_at: Instant::now(),
@@ -179,7 +182,7 @@
 /// once for each token, in order.
 async fn run(entry: &Entry, work: &Work, mut emit: impl FnMut(&str)) -> Result<Done, Refusal> {
     let _counted = Counted::new(entry);
-    entry.check_quarantine(work.request, work.fingerprint, false)?;
+    entry.check_quarantine(work.request, &work.fingerprints, false)?;
     let tokens = f64::from(work.completion.prompt_tokens()) + f64::from(work.max_tokens);
     let mut charged = charge(entry, work.request, &work.caller, tokens).await?;
     entry.earn_retry();
@@ -190,7 +193,7 @@
     let mut last_token_at: Option<Instant> = None;
     for attempt in 0..MAX_ATTEMPTS {
         let id = if attempt == 0 { work.request } else { entry.shared.next_request() };
-        let suspect = entry.check_quarantine(work.request, work.fingerprint, may_have_run)?;
+        let suspect = entry.check_quarantine(work.request, &work.fingerprints, may_have_run)?;
         let demand = build_demand(entry, work, id, Progress { attempt, next, suspect }, &avoid);
         let acquired = acquire(entry, &work.caller, demand).await;
         let mut lease = acquired.map_err(|refusal| refusal.with_may_have_run(may_have_run))?;
@@ -212,7 +215,7 @@
         let failure = match running.await {
             Ok(done) => {
                 metrics.requests.with_label_values(&["model", "answered"]).inc();
-                entry.report_served(work.fingerprint, lease.pair.decode);
+                entry.report_served(&work.fingerprints, lease.pair.decode);
                 return Ok(done);
             }
             Err(failure) => failure,
@@ -309,6 +312,17 @@
     digests.collect()
 }
 
+/// The fingerprints of the prompt's leading blocks, without the last one, which other requests hardly
+/// have.
+///
+/// Each block's stands for all blocks up to it.
+fn shared_blocks(service: Tag, prompt: &str) -> Vec<Tag> {
+    let mut blocks = hash_blocks(prompt);
+    blocks.pop();
+    let shared = blocks.iter().take(MAX_PARTS);
+    shared.map(|block| strike::part(service, &block.to_le_bytes())).collect()
+}
+
 /// An attempt at a request.
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
@@ -336,8 +350,7 @@
         let name = upstream_name(&entry.shared.snapshot(), engine);
         let crash = Crash { upstream: engine, started_ms: 0, name };
         let now = Instant::now();
-        let strike = Strike::new(work.fingerprint, crash, sent_at, now);
-        entry.report_strike(strike, now).await;
+        entry.report_strikes(Strike::all(&work.fingerprints, &crash, sent_at, now), now).await;
     }
 }
 
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -26,7 +26,7 @@
 use damaskhatch_policy::placement::Loads;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, Budget};
-use damaskhatch_policy::strike::{Quarantine, Strike};
+use damaskhatch_policy::strike::{Fingerprints, Quarantine, Strike};
 use serde_json::json;
 
 use crate::control::Control;
@@ -126,17 +126,17 @@
     pub fn check_quarantine(
         &self,
         label: impl std::fmt::Display,
-        fingerprint: Tag,
+        fingerprints: &Fingerprints,
         may_have_run: bool,
     ) -> Result<Option<Tag>, Refusal> {
         let ledger = self.shared.strike_ledger();
-        if !ledger.is_struck(fingerprint) {
+        if !fingerprints.all().any(|own| ledger.is_struck(own)) {
             return Ok(None);
         }
-        let Some(Quarantine { left, crashed }) = ledger.quarantine(fingerprint, Instant::now())
-        else {
-            return Ok(ledger.suspected_crash(fingerprint));
+        let Some(quarantine) = ledger.quarantine_of(fingerprints, Instant::now()) else {
+            return Ok(ledger.suspected_crash(fingerprints.request));
         };
+        let Quarantine { fingerprint, left, crashed } = quarantine;
         self.shared.journal.record(
             label,
             format_args!(
@@ -153,17 +153,20 @@
     }
 
     /// Reports a crash of an upstream under a request; returns once every thread knows of it.
-    pub async fn report_strike(&self, strike: Strike, crashed_at: Instant) {
-        let fingerprint = strike.fingerprint;
-        if let Err(error) = self.control.strikes.send(Record { strike, crashed_at }).await {
+    pub async fn report_strikes(&self, strikes: Vec<Strike>, crashed_at: Instant) {
+        let fingerprint = strikes.first().map_or(Tag(0), |strike| strike.fingerprint);
+        if let Err(error) = self.control.strikes.send(Record { strikes, crashed_at }).await {
             log::warn!("event=strike_lost fingerprint={fingerprint} error={error}");
         }
     }
 
-    /// Reports a complete response, which clears the request of its strikes if it has any.
-    pub fn report_served(&self, fingerprint: Tag, upstream: Tag) {
-        if self.shared.strike_ledger().is_struck(fingerprint) {
-            self.control.strikes.do_send(Served { fingerprint, upstream });
+    /// Reports a complete response, which clears the request and the parts of its prompt of their
+    /// strikes if they have any.
+    pub fn report_served(&self, fingerprints: &Fingerprints, upstream: Tag) {
+        let ledger = self.shared.strike_ledger();
+        if !fingerprints.parts.is_empty() || ledger.is_struck(fingerprints.request) {
+            let fingerprints = fingerprints.clone();
+            self.control.strikes.do_send(Served { fingerprints, upstream });
         }
     }
 
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -16,7 +16,7 @@
 use damaskhatch_policy::retry::{self, MAX_ATTEMPTS};
 use damaskhatch_policy::route;
 use damaskhatch_policy::sheet;
-use damaskhatch_policy::strike::{self, Crash, Strike};
+use damaskhatch_policy::strike::{self, Crash, Fingerprints, Strike};
 
 use super::access::{Caller, authorize};
 use super::charge::charge;
@@ -39,7 +39,7 @@
     service: Service,
     repeatable: bool,
     call: plain::Call,
-    fingerprint: Tag,
+    fingerprints: Fingerprints,
 }
 
 /// Handles `/services/NAME/...`.
@@ -58,11 +58,12 @@
         Ok(work) => work,
         Err(refusal) => return entry.refuse(id, refusal),
     };
-    let record = match idempotency::begin(&entry, &request, &work.caller, work.fingerprint).await {
-        idempotency::Start::Run(record) => record,
-        idempotency::Start::Replay(response) => return response.to_http(),
-        idempotency::Start::Refused(refusal) => return entry.refuse(id, refusal),
-    };
+    let record =
+        match idempotency::begin(&entry, &request, &work.caller, work.fingerprints.request).await {
+            idempotency::Start::Run(record) => record,
+            idempotency::Start::Replay(response) => return response.to_http(),
+            idempotency::Start::Refused(refusal) => return entry.refuse(id, refusal),
+        };
     let repeatable = work.repeatable;
     let task_entry = entry.clone();
     let task = actix_rt::spawn(async move {
@@ -116,7 +117,10 @@
         request: id,
         service,
         repeatable: snapshot.services[service].repeatable || is_safe_method(request.method()),
-        fingerprint: strike::fingerprint(caller.tag, &[target.as_bytes(), &body]),
+        fingerprints: Fingerprints::of_request(strike::fingerprint(
+            caller.tag,
+            &[target.as_bytes(), &body],
+        )),
         call: plain::Call {
             method: request.method().clone(),
             target,
@@ -155,14 +159,14 @@
 
 /// Charges the call, then attempts it until a response arrives or no retry is allowed.
 async fn run(entry: &Entry, work: &Work) -> Result<Response, Refusal> {
-    entry.check_quarantine(work.request, work.fingerprint, false)?;
+    entry.check_quarantine(work.request, &work.fingerprints, false)?;
     let tokens = 1 + estimate_tokens(work.call.body.len());
     let mut charged = charge(entry, work.request, &work.caller, f64::from(tokens)).await?;
     entry.earn_retry();
     let mut may_have_run = false;
     let mut avoid = HashSet::new();
     for attempt in 0..MAX_ATTEMPTS {
-        entry.check_quarantine(work.request, work.fingerprint, may_have_run)?;
+        entry.check_quarantine(work.request, &work.fingerprints, may_have_run)?;
         let snapshot = entry.shared.snapshot();
         if work.caller.is_withdrawn(&snapshot) {
             return Err(Refusal::from(Kind::KeyWithdrawn).with_may_have_run(may_have_run));
@@ -182,7 +186,7 @@
                 spend_all(&mut charged);
                 entry.shared.metrics.requests.with_label_values(&["plain", "answered"]).inc();
                 if verdict == Verdict::Complete {
-                    entry.report_served(work.fingerprint, upstream);
+                    entry.report_served(&work.fingerprints, upstream);
                 }
                 return Ok(response);
             }
@@ -266,8 +270,8 @@
     };
     if error == Error::Broken && plain::is_dead(&snapshot.upstreams[index].address).await {
         let crash = Crash { upstream, started_ms: 0, name: upstream_name(snapshot, upstream) };
-        let strike = Strike::new(work.fingerprint, crash, sent_at, broke_at);
-        entry.report_strike(strike, broke_at).await;
+        let strikes = Strike::all(&work.fingerprints, &crash, sent_at, broke_at);
+        entry.report_strikes(strikes, broke_at).await;
     }
 }
 
--- a/crates/damaskhatch/src/quarantine.rs
+++ b/crates/damaskhatch/src/quarantine.rs
@@ -37,7 +37,7 @@
 async fn list(operator: web::Data<Operator>) -> HttpResponse {
     let (ledger, now) = (operator.shared.strike_ledger(), Instant::now());
     let refused = ledger.culprits().filter_map(|fingerprint| {
-        let Quarantine { left, crashed } = ledger.quarantine(fingerprint, now)?;
+        let Quarantine { left, crashed, .. } = ledger.quarantine(fingerprint, now)?;
         Some(Entry { fingerprint: fingerprint.to_string(), left_s: left.as_secs(), crashed })
     });
     HttpResponse::Ok().json(refused.collect::<Vec<_>>())
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -171,7 +171,7 @@
 /// has become invalid since it was accepted.
 pub fn check_admission(entry: &Entry, routed: &Routed, history: History) -> Result<(), Refusal> {
     let may_have_run = history.may_have_run;
-    entry.check_quarantine(&routed.label, routed.fingerprint, may_have_run)?;
+    entry.check_quarantine(&routed.label, &routed.fingerprints, may_have_run)?;
     let key = routed.caller.as_ref().filter(|_| !routed.route.open);
     if let Some(digest) = key.and_then(|caller| caller.digest.clone()) {
         let identified = identify(&entry.shared.snapshot(), Some(digest));
@@ -223,7 +223,7 @@
         format_args!(
             "event=attempt_failed phase={phase} upstream={} outcome={outcome:?} \
              fingerprint={} reason={reason:?}",
-            upstream.instance, routed.fingerprint
+            upstream.instance, routed.fingerprints.request
         ),
     );
     if *outcome == Outcome::Unknown {
--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -5,7 +5,7 @@
 use damaskhatch_policy::ending::{Upstream, Verdict};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
-use damaskhatch_policy::strike::{Crash, Strike};
+use damaskhatch_policy::strike::{Crash, Fingerprints, Strike};
 use damaskhatch_policy::suspect::Suspect;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -58,8 +58,8 @@
 pub struct Broken {
     /// The request's label, for logs.
     pub label: String,
-    /// The request's fingerprint.
-    pub fingerprint: Tag,
+    /// The request and the parts of its prompt.
+    pub fingerprints: Fingerprints,
     /// The upstream.
     pub upstream: registry::Entry,
     /// When the request was sent to it.
@@ -73,21 +73,21 @@
     pub fn new(routed: &Routed, upstream: &registry::Entry, sent_at: Instant) -> Self {
         Self {
             label: routed.label.clone(),
-            fingerprint: routed.fingerprint,
+            fingerprints: routed.fingerprints.clone(),
             upstream: upstream.clone(),
             sent_at,
             broke_at: Instant::now(),
         }
     }
 
-    /// The strike that the request gets if the upstream has crashed.
-    fn strike(&self) -> Strike {
+    /// The strikes that the request and the parts of its prompt get if the upstream has crashed.
+    fn strikes(&self) -> Vec<Strike> {
         let crash = Crash {
             upstream: self.upstream.tag,
             started_ms: self.upstream.started_ms,
             name: self.upstream.instance.clone(),
         };
-        Strike::new(self.fingerprint, crash, self.sent_at, self.broke_at)
+        Strike::all(&self.fingerprints, &crash, self.sent_at, self.broke_at)
     }
 }
 
@@ -144,9 +144,11 @@
         Evidence::Silent => RETURNED_WITHIN,
     };
     let (address, broke_at) = (broken.upstream.address, broken.broke_at);
-    let (strike, watch_until) = (broken.strike(), broke_at + watch_for);
-    let suspect = Suspect { strike, address, broke_at, watch_until };
-    entry.control.strikes.do_send(Watch(suspect));
+    let watch_until = broke_at + watch_for;
+    for strike in broken.strikes() {
+        let suspect = Suspect { strike, address, broke_at, watch_until };
+        entry.control.strikes.do_send(Watch(suspect));
+    }
     actix_rt::spawn(async move {
         tokio::time::sleep(PROBE_PAUSE).await;
         conclude(&entry, &broken).await;
@@ -182,17 +184,19 @@
 
 /// Looks for evidence of a crash, and reports a strike if it is found.
 async fn conclude(entry: &Entry, broken: &Broken) -> Evidence {
-    let Broken { label, fingerprint, upstream, .. } = broken;
+    let Broken { label, fingerprints: Fingerprints { request, parts }, upstream, .. } = broken;
     let evidence = find_evidence(entry, upstream).await;
     entry.shared.journal.record(
         label,
         format_args!(
-            "event=upstream_examined upstream={} fingerprint={fingerprint} evidence={evidence:?}",
-            upstream.instance
+            "event=upstream_examined upstream={} fingerprint={request} parts={} \
+             evidence={evidence:?}",
+            upstream.instance,
+            parts.len()
         ),
     );
     if evidence == Evidence::Refused {
-        entry.report_strike(broken.strike(), broken.broke_at).await;
+        entry.report_strikes(broken.strikes(), broken.broke_at).await;
     }
     evidence
 }
--- a/crates/damaskhatch/src/relay/dialect.rs
+++ b/crates/damaskhatch/src/relay/dialect.rs
@@ -52,6 +52,9 @@
     pub tokens: &'static str,
     /// The caller's estimate of the response's length, in tokens.
     pub length_hint: &'static str,
+    /// The parts of the prompt in order, as `ID:TOKENS` separated by commas; requests may share all
+    /// but the last.
+    pub prompt_parts: &'static str,
     /// The id of the last event that the caller received, after which to resume.
     pub last_event: &'static str,
     /// Towards upstreams: the name of the caller's team.
@@ -108,6 +111,7 @@
             deadline: "x-damaskhatch-deadline-ms",
             tokens: "x-damaskhatch-tokens",
             length_hint: "x-damaskhatch-length-hint",
+            prompt_parts: "x-damaskhatch-prompt-parts",
             last_event: "last-event-id",
             team: "x-damaskhatch-team",
             instance: "x-damaskhatch-instance",
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -57,7 +57,7 @@
             routed.keep_charge();
         }
         if matches!(&result, Ok(response) if response.verdict == Verdict::Complete) {
-            entry.report_served(routed.fingerprint, upstream.tag);
+            entry.report_served(&routed.fingerprints, upstream.tag);
         }
         match result {
             Ok(response) if !response.head.status.is_server_error() => {
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -66,7 +66,7 @@
     match read_complete(entry, routed, attempt, response, MAX_FAILURE_BYTES).await {
         Ok(Complete { head, framing, body, verdict }) => {
             if verdict == Verdict::Complete {
-                entry.report_served(routed.fingerprint, attempt.upstream.tag);
+                entry.report_served(&routed.fingerprints, attempt.upstream.tag);
             }
             let status = head.status.as_u16();
             entry.shared.journal.record(
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -8,7 +8,7 @@
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::routing::Route;
-use damaskhatch_policy::strike;
+use damaskhatch_policy::strike::{self, Fingerprints, MAX_PARTS};
 
 use crate::entry::access::{Caller, digest, identify};
 use crate::entry::charge::charge;
@@ -50,8 +50,9 @@
     pub headers: HeaderMap,
     /// The complete request body, kept so that it can be sent again.
     pub body: Bytes,
-    /// Identifies the request among repeats by its caller; see [`fingerprint`].
-    pub fingerprint: Tag,
+    /// Identifies the request among repeats by its caller, and the parts of its prompt; see
+    /// [`fingerprint`] and [`parse_parts`].
+    pub fingerprints: Fingerprints,
     /// The declared token counts; `None` if the header is missing or malformed.
     pub tokens: Option<Tokens>,
     /// When this host received the request's head.
@@ -126,8 +127,12 @@
     let route = route.clone();
     let body = read_body(entry, payload).await?;
     let team = caller.as_ref().map_or(Tag(0), |caller| caller.tag);
-    let fingerprint = fingerprint(team, request, &body);
-    entry.check_quarantine(label, fingerprint, false)?;
+    let service_tag = snapshot.services[service].tag;
+    let fingerprints = Fingerprints {
+        request: fingerprint(team, request, &body),
+        parts: parse_parts(request.headers(), &dialect.headers, service_tag),
+    };
+    entry.check_quarantine(label, &fingerprints, false)?;
     let id = entry.shared.next_request();
     let charged = match &caller {
         Some(caller) => {
@@ -156,7 +161,7 @@
         target: request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned(),
         headers,
         body,
-        fingerprint,
+        fingerprints,
         tokens,
         arrived_at,
         limit: (arrived_at + route.time_limit).min(deadline),
@@ -275,6 +280,18 @@
     Some(Tokens { prompt, max_output, hint })
 }
 
+/// The fingerprints of the leading parts of the prompt, without the last one, which belongs to the
+/// request alone or to its session.
+fn parse_parts(headers: &CallerHeaders, names: &Headers, service: Tag) -> Vec<Tag> {
+    let listed = headers.get(names.prompt_parts).and_then(|parts| parts.to_str().ok());
+    let ids =
+        listed.unwrap_or("").split(',').map(|part| part.split(':').next().unwrap_or("").trim());
+    let ids: Vec<&str> = ids.collect();
+    let (_own, shared) = ids.split_last().unwrap_or((&"", &[]));
+    let shared = shared.iter().filter(|id| !id.is_empty()).take(MAX_PARTS);
+    shared.map(|id| strike::part(service, id.to_ascii_lowercase().as_bytes())).collect()
+}
+
 /// The header's value as a number; `None` if it is missing or malformed.
 fn parse_number(headers: &CallerHeaders, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -129,7 +129,7 @@
         if verdict == Verdict::Complete {
             self.record_length();
             let Parts { entry, routed, running, .. } = &self.parts;
-            entry.report_served(routed.fingerprint, running.reservation.upstream.tag);
+            entry.report_served(&routed.fingerprints, running.reservation.upstream.tag);
         }
         self.end(verdict.name());
     }
--- a/crates/policy/src/strike.rs
+++ b/crates/policy/src/strike.rs
@@ -2,9 +2,11 @@
 //!
 //! A request gets a strike when an upstream crashes while running it. So do the requests that
 //! merely ran beside it, so the ledger looks for the one that explains most crashes. A
-//! request that is repeated is recognized by its [`fingerprint`]. With strikes from two
-//! separate events it is refused by every host, for longer after each further crash; a
-//! complete response to it clears it. See [docs/DESIGN.md](../../../docs/DESIGN.md#quarantine).
+//! request that is repeated is recognized by its [`fingerprint`], and requests that share a part of
+//! their prompts by that of the [`part`]; see [`Fingerprints`]. With strikes from two
+//! separate events, three for a part, it is refused by every host, for longer after each further
+//! crash; a complete response to it clears it. See
+//! [docs/DESIGN.md](../../../docs/DESIGN.md#quarantine).
 
 use std::collections::HashMap;
 
@@ -13,6 +15,18 @@
 /// The number of events from which a fingerprint is refused, unless another one explains them
 /// just as well; then one more is needed.
 pub const LIMIT: usize = 2;
+/// The same for a part of prompts, which is shared with requests that crash nothing.
+pub const PART_LIMIT: usize = 3;
+/// The maximum number of parts of a prompt that are watched, so that a request's strikes fit a few
+/// datagrams.
+pub const MAX_PARTS: usize = 16;
+/// Set in the fingerprints of parts, and not in those of requests.
+const PART_BIT: u64 = 1 << 63;
+/// How long a part under which an upstream has completed a response gets no strikes.
+///
+/// Crashes that follow at once are then attributed to the parts that responses are not completed
+/// under. A part that begins to crash upstreams later gets strikes from then on.
+const PROVEN_FOR: Duration = Duration::from_secs(10);
 /// How long a fingerprint at the limit is refused after its latest strike.
 ///
 /// Doubles with each further event, since the first request after a quarantine crashes one
@@ -66,15 +80,51 @@
 }
 
 impl Strike {
+    /// The strikes for a crash at `broke_at` of everything that may have caused it.
+    pub fn all(
+        fingerprints: &Fingerprints,
+        crash: &Crash,
+        sent_at: Instant,
+        broke_at: Instant,
+    ) -> Vec<Self> {
+        let all = fingerprints.all();
+        all.map(|own| Self::new(own, crash.clone(), sent_at, broke_at)).collect()
+    }
+
     /// A strike for a crash at `broke_at` of a request that was sent to the upstream at `sent_at`.
     pub fn new(fingerprint: Tag, crash: Crash, sent_at: Instant, broke_at: Instant) -> Self {
         Self { fingerprint, crash, ran_for: broke_at.saturating_duration_since(sent_at) }
     }
 }
 
+plain! { data
+    /// What may have crashed the upstream that ran a request.
+    #[derive(Eq)]
+    pub struct Fingerprints {
+        /// The request as a whole; see [`fingerprint`].
+        pub request: Tag,
+        /// The parts of its prompt that other requests may have, too; see [`part`].
+        pub parts: Vec<Tag>,
+    }
+}
+
+impl Fingerprints {
+    /// Those of a request whose prompt has no known parts.
+    pub const fn of_request(request: Tag) -> Self {
+        Self { request, parts: Vec::new() }
+    }
+
+    /// All fingerprints, that of the request first.
+    pub fn all(&self) -> impl Iterator<Item = Tag> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+}
+
 plain! { state
     /// Why and for how long a request is refused.
     pub struct Quarantine {
+        /// The fingerprint to which the crashes are attributed.
+        pub fingerprint: Tag,
         /// The remaining time.
         pub left: Duration,
         /// The names of the upstreams whose crashes are attributed to it, oldest crash first.
@@ -102,7 +152,23 @@
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    first_bytes(&hasher)
+    Tag(first_bytes(&hasher).0 & !PART_BIT)
+}
+
+/// Identifies a part of the prompts for a service.
+///
+/// The same for all teams: the upstreams that the part crashes are the same, too.
+pub fn part(service: Tag, id: &[u8]) -> Tag {
+    Tag(fingerprint(service, &[id]).0 | PART_BIT)
+}
+
+/// The number of events from which a fingerprint is refused.
+const fn limit(fingerprint: Tag) -> usize {
+    if is_part(fingerprint) { PART_LIMIT } else { LIMIT }
+}
+
+const fn is_part(fingerprint: Tag) -> bool {
+    fingerprint.0 & PART_BIT != 0
 }
 
 /// The first eight bytes of the digest as a tag.
@@ -234,16 +300,39 @@
         Some(latest.strike.crash.upstream)
     }
 
+    /// The longest quarantine of a request's fingerprints; `None` if it may run.
+    ///
+    /// Where fingerprints explain the same crashes, a request with all of them is refused, and one with
+    /// some of them may run: its response, or its crash, shows which it is.
+    pub fn quarantine_of(&self, request: &Fingerprints, now: Instant) -> Option<Quarantine> {
+        let all: Vec<Tag> = request.all().collect();
+        let is_beside = |other| all.contains(&other);
+        let quarantines = all.iter().filter_map(|own| self.quarantine_beside(*own, is_beside, now));
+        quarantines.max_by_key(|quarantine| quarantine.left)
+    }
+
     /// The quarantine of the fingerprint; `None` if it may run.
+    ///
+    /// That of a part holds for requests with all parts that explain the same crashes.
     pub fn quarantine(&self, fingerprint: Tag, now: Instant) -> Option<Quarantine> {
-        let (events, own) = self.attributed(fingerprint)?;
-        let doublings = u32::try_from(events - LIMIT).unwrap_or(u32::MAX);
+        self.quarantine_beside(fingerprint, |_other| is_part(fingerprint), now)
+    }
+
+    /// The quarantine of the fingerprint in a request that also has those that `is_beside` holds for.
+    fn quarantine_beside(
+        &self,
+        fingerprint: Tag,
+        is_beside: impl Fn(Tag) -> bool,
+        now: Instant,
+    ) -> Option<Quarantine> {
+        let (events, own) = self.attributed(fingerprint, is_beside)?;
+        let doublings = u32::try_from(events - limit(fingerprint)).unwrap_or(u32::MAX);
         let length = BASE_QUARANTINE.saturating_mul(2_u32.saturating_pow(doublings));
         let latest = own.iter().map(|entry| entry.crashed_at).max()?;
         let until = latest + length.min(MAX_QUARANTINE);
         let left = until.checked_duration_since(now).filter(|left| !left.is_zero())?;
         let crashed = own.into_iter().map(|entry| entry.strike.crash.name.clone()).collect();
-        Some(Quarantine { left, crashed })
+        Some(Quarantine { fingerprint, left, crashed })
     }
 
     /// The remaining time for which the fingerprint is refused; `None` if it may run.
@@ -253,13 +342,15 @@
 
     /// The crashes attributed to the fingerprint, oldest first; empty below the limit.
     pub fn crashes_of(&self, fingerprint: Tag) -> Vec<Crash> {
-        let own = self.attributed(fingerprint).map(|(_events, own)| own).unwrap_or_default();
+        let attributed = self.attributed(fingerprint, |_other| is_part(fingerprint));
+        let own = attributed.map(|(_events, own)| own).unwrap_or_default();
         own.into_iter().map(|entry| entry.strike.crash.clone()).collect()
     }
 
     /// The fingerprints to which crashes are attributed, also those whose quarantine is over.
     pub fn culprits(&self) -> impl Iterator<Item = Tag> {
-        self.strikes.keys().copied().filter(|own| self.attributed(*own).is_some())
+        let all = self.strikes.keys().copied();
+        all.filter(|own| self.attributed(*own, |_other| is_part(*own)).is_some())
     }
 
     /// All unexpired strikes, for another host.
@@ -304,23 +395,39 @@
 
     /// The strikes attributed to the fingerprint, oldest first, and the number of their events;
     /// `None` below the limit.
-    fn attributed(&self, fingerprint: Tag) -> Option<(usize, Vec<&Entry>)> {
+    ///
+    /// Fingerprints that `is_beside` holds for are not considered as other explanations.
+    fn attributed(
+        &self,
+        fingerprint: Tag,
+        is_beside: impl Fn(Tag) -> bool,
+    ) -> Option<(usize, Vec<&Entry>)> {
+        let limit = limit(fingerprint);
         // Most requests with strikes have one, which needs no comparison with all others.
-        if self.counted(fingerprint).count() < LIMIT {
+        if self.counted(fingerprint).count() < limit {
             return None;
         }
         let own: Vec<&Entry> = self.unexplained(fingerprint).collect();
         let events = count_events(own.iter().copied());
-        let is_attributed =
-            events > LIMIT || (events == LIMIT && !self.is_ambiguous(fingerprint, &own));
+        // A part is refused only if it is the only explanation, however many crashes there are:
+        // other requests need it, and tell the explanations apart.
+        let may_be_ambiguous = events > limit && !is_part(fingerprint);
+        let is_attributed = events >= limit
+            && (may_be_ambiguous || !self.is_ambiguous(fingerprint, &own, is_beside));
         is_attributed.then_some((events, own))
     }
 
     /// Whether another fingerprint that as many events count against explains all of `own`.
-    fn is_ambiguous(&self, fingerprint: Tag, own: &[&Entry]) -> bool {
+    fn is_ambiguous(
+        &self,
+        fingerprint: Tag,
+        own: &[&Entry],
+        is_beside: impl Fn(Tag) -> bool,
+    ) -> bool {
         let Some((first, rest)) = own.split_first() else { return false };
         let weight = self.count(fingerprint);
-        let mut others = self.others_struck_for(fingerprint, first);
+        let mut others =
+            self.others_struck_for(fingerprint, first).filter(|other| !is_beside(*other));
         others.any(|other| {
             self.count(other) == weight
                 && rest.iter().all(|own| self.counted(other).any(|e| e.is_same_crash(own)))
@@ -348,6 +455,31 @@
     }
 }
 
+/// The parts of prompts under which upstreams have lately completed responses, as seen by one host.
+#[derive(Debug, Clone, Default)]
+pub struct Proven {
+    completed_at: HashMap<Tag, Instant>,
+}
+
+impl Proven {
+    /// Records a complete response under a part.
+    pub fn record(&mut self, part: Tag, completed_at: Instant) {
+        if self.completed_at.len() >= MAX_FINGERPRINTS {
+            self.completed_at
+                .retain(|_, at| completed_at.saturating_duration_since(*at) < PROVEN_FOR);
+        }
+        if self.completed_at.len() < MAX_FINGERPRINTS {
+            self.completed_at.insert(part, completed_at);
+        }
+    }
+
+    /// Whether a crash is not attributed to the part, because a response was completed lately.
+    pub fn contains(&self, part: Tag, now: Instant) -> bool {
+        let completed_at = self.completed_at.get(&part);
+        completed_at.is_some_and(|at| now.saturating_duration_since(*at) < PROVEN_FOR)
+    }
+}
+
 fn report(entry: &Entry, now: Instant) -> Report {
     let age = now.saturating_duration_since(entry.crashed_at);
     Report { strike: entry.strike.clone(), age, is_cleared: entry.is_cleared }
