--- a/crates/standins/tests/streams.rs
+++ b/crates/standins/tests/streams.rs
@@ -113,6 +113,11 @@
     run_and_compare(&fleet, 41, 60, stall).await;
 }
 
+/// The size of the prompts' blocks by which requests are recognized, in bytes.
+const BLOCK_BYTES: usize = 1_024;
+/// The engines that a block of prompts may crash before it is refused.
+const MAX_CRASHES_OF_A_BLOCK: usize = 5;
+
 #[actix_web::test]
 async fn a_prompt_that_crashes_engines_kills_at_most_two_and_other_requests_complete() {
     let mut fleet = start_proxied(|plan| {
@@ -147,6 +152,26 @@
     .await;
 }
 
+/// Guards against a block of prompts that crashes one engine after the other, in requests that are
+/// never alike.
+#[actix_web::test]
+async fn a_block_of_prompts_that_crashes_engines_is_refused_whatever_follows_it() {
+    let mut fleet = start_proxied(|plan| plan.decodes_per_domain = 4).await;
+    let key = fleet.keys["audit"].clone();
+    let crashing_block = format!("{CRASH_DECODE_MARK:.<0$}", BLOCK_BYTES);
+    let mut statuses = Vec::new();
+    for (number, target) in (0..4).flat_map(|_| fleet.caller_addresses()).enumerate() {
+        let own = format!("{number:04}").repeat(BLOCK_BYTES / 4 + 10);
+        let prompt = format!("{crashing_block}{own}");
+        let response = complete(target, &key, &prompt, 50).await.expect("a response");
+        statuses.push(response.status);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let dead = fleet.engines.iter_mut().filter_map(|engine| engine.exit_code()).count();
+    assert!((1..=MAX_CRASHES_OF_A_BLOCK).contains(&dead), "{dead} engines died: {statuses:?}");
+    assert_eq!(statuses.last(), Some(&429), "{statuses:?}");
+}
+
 /// Guards against chunks sent to a caller whose HTTP version does not know them.
 #[actix_web::test]
 async fn an_http_10_caller_gets_a_stream_that_ends_with_its_connection() {
