--- a/crates/standins/tests/streams.rs
+++ b/crates/standins/tests/streams.rs
@@ -9,7 +9,7 @@
 };
 use damaskhatch_standins::completion;
 use damaskhatch_standins::engine::CRASH_DECODE_MARK;
-use damaskhatch_standins::fleet::{Fleet, MODEL};
+use damaskhatch_standins::fleet::{Fleet, MODEL, Process};
 use damaskhatch_standins::load::build_prompt;
 use damaskhatch_standins::proxy::Rule;
 use serde_json::json;
@@ -158,7 +158,7 @@
 async fn a_block_of_prompts_that_crashes_engines_is_refused_whatever_follows_it() {
     let mut fleet = start_proxied(|plan| plan.decodes_per_domain = 4).await;
     let key = fleet.keys["audit"].clone();
-    let crashing_block = format!("{CRASH_DECODE_MARK:.<0$}", BLOCK_BYTES);
+    let crashing_block = format!("{CRASH_DECODE_MARK:.<BLOCK_BYTES$}");
     let mut statuses = Vec::new();
     for (number, target) in (0..4).flat_map(|_| fleet.caller_addresses()).enumerate() {
         let own = format!("{number:04}").repeat(BLOCK_BYTES / 4 + 10);
@@ -167,7 +167,7 @@
         statuses.push(response.status);
         sleep(Duration::from_millis(100)).await;
     }
-    let dead = fleet.engines.iter_mut().filter_map(|engine| engine.exit_code()).count();
+    let dead = fleet.engines.iter_mut().filter_map(Process::exit_code).count();
     assert!((1..=MAX_CRASHES_OF_A_BLOCK).contains(&dead), "{dead} engines died: {statuses:?}");
     assert_eq!(statuses.last(), Some(&429), "{statuses:?}");
 }
