Do not ask a prefill engine that declines for every request

Every request asks it, often twice within some milliseconds, and then its decode engine, so that each reaches one or two engines more than its first. A declined request counted as no failure of the engine, which was never left out.

Now an engine that declines a prefill is left out as one that fails is: for 500 ms, twice as long after each further refusal up to 4 s, and until a prefill succeeds. Meanwhile decode engines run the prefill.

--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -249,7 +249,10 @@
         let _guard = entry.shared.loads.track(engine.tag, load);
         match request_export(entry, routed, &engine, &phase).await {
             Ok(export) => return Ok(Some(export)),
-            Err(failure) => {
+            Err(mut failure) => {
+                // An engine that declines prefills, being full or changing its role, goes on to do so
+                // for a while, and each further one makes the request reach one engine more.
+                failure.is_upstream_at_fault |= failure.outcome == Outcome::NotRun;
                 let (sent_at, history) = (now, progress.history);
                 let attempt = Attempt { upstream: &engine, sent_at, phase: "prefill", history };
                 record_failure(entry, routed, attempt, &failure).await;
