Say which peer failed a pull, and how

A failed pull logged 'request to the platform's store failed: peer 10.2.0.4:8002: request to the platform's store failed: ...', although no store was asked: the store's error type was used for peers. The pull has an error of its own. No decision changes.

--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -6,10 +6,11 @@
 use damaskhatch_policy::config::{self, Head};
 use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::sheet::Row;
-use damaskhatch_store::error::{Error, Result};
+use damaskhatch_store::error::Error as StoreError;
 use damaskhatch_store::prelude::{Client, Store};
 use damaskhatch_store::store;
 use damaskhatch_wire::prelude::Body;
+use displaydoc::Display;
 
 use crate::chunk::{Chunk, Chunks};
 use crate::control::configuration::archive::{SharedArchive, lock};
@@ -20,6 +21,33 @@
 /// The number of chunks requested from a peer in one query.
 const CHUNKS_PER_EXCHANGE: usize = 32;
 
+/// Why no configuration was pulled.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Error {
+    /// {0}
+    Store(StoreError),
+    /// peer {peer}: {reason}
+    Peer {
+        /// The last peer that was asked.
+        peer: SocketAddr,
+        /// What failed there.
+        reason: String,
+    },
+    /// no peer has the configuration
+    NoPeer,
+}
+
+impl std::error::Error for Error {}
+
+impl From<StoreError> for Error {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+/// A result whose error is a pull's [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
 /// Where a configuration is read from.
 #[derive(Debug)]
 pub enum Source {
@@ -106,7 +134,7 @@
     let mut rows = Vec::new();
     let mut chunks = Chunks::new();
     for digest in &head.chunks {
-        let chunk = lock(&archive).chunk(digest).cloned().ok_or(Error::Missing)?;
+        let chunk = lock(&archive).chunk(digest).cloned().ok_or(StoreError::Missing)?;
         rows.extend(store::decode(digest, &chunk.text()?)?);
         chunks.insert(digest.clone(), chunk);
     }
@@ -161,7 +189,7 @@
         // since the key's version, and every watch from there would fail.
         let listing = client.list(key, false).await?;
         let found = listing.items.into_iter().find(|(listed, _)| listed == key);
-        let item = found.and_then(|(_, item)| item).ok_or(Error::Missing)?;
+        let item = found.and_then(|(_, item)| item).ok_or(StoreError::Missing)?;
         (Some(item), listing.version)
     } else {
         let changes = client.watch_prefix(key, after, wait).await?;
@@ -195,15 +223,16 @@
             Ok(Latest::without_rows(head, version, Vec::new()))
         }
         Source::Peers { from, to, codec, metrics } => {
-            let mut failure = Error::Unreachable("there is no peer to ask".to_owned());
+            let mut failure = Error::NoPeer;
             for peer in to {
-                match query(*from, *peer, codec, metrics, Body::GetHead).await {
+                let reason = match query(*from, *peer, codec, metrics, Body::GetHead).await {
                     Ok(Body::Head { head, withdrawn }) => {
                         return Ok(Latest::without_rows(head, 0, withdrawn));
                     }
-                    Ok(_other) => failure = Error::Malformed(format!("peer {peer} sent no head")),
-                    Err(error) => failure = Error::Unreachable(format!("peer {peer}: {error}")),
-                }
+                    Ok(_other) => "its reply is no head".to_owned(),
+                    Err(error) => error.to_string(),
+                };
+                failure = Error::Peer { peer: *peer, reason };
             }
             Err(failure)
         }
@@ -224,13 +253,13 @@
             Ok(bytes)
         }
         Source::Peers { from, to, codec, metrics } => {
-            let ask = async |peer, query_body| query(*from, peer, codec, metrics, query_body).await;
             let mut bytes = 0;
-            let mut failure = Error::Missing;
+            let mut failure = Error::NoPeer;
             for peer in to {
-                match read_chunks_from(async |body| ask(*peer, body).await, head, archive).await {
+                let ask = async |body| query(*from, *peer, codec, metrics, body).await;
+                match read_chunks_from(ask, head, archive).await {
                     Ok(length) => bytes += length,
-                    Err(error) => failure = Error::Unreachable(format!("peer {peer}: {error}")),
+                    Err(reason) => failure = Error::Peer { peer: *peer, reason },
                 }
                 if missing(head, archive).is_empty() {
                     return Ok(bytes);
@@ -242,22 +271,24 @@
 }
 
 /// Reads the missing chunks that one peer has; `ask` sends it a query and returns its reply.
+///
+/// Returns their bytes, or why not all could be read.
 async fn read_chunks_from(
     ask: impl AsyncFn(Body) -> damaskhatch_wire::error::Result<Body>,
     head: &Head,
     archive: &SharedArchive,
-) -> Result<usize> {
+) -> std::result::Result<usize, String> {
     let mut bytes = 0;
     for batch in missing(head, archive).chunks(CHUNKS_PER_EXCHANGE) {
         let reply = ask(Body::GetCompressedChunks(batch.to_vec())).await;
-        let chunks = match reply.map_err(|error| Error::Unreachable(error.to_string()))? {
+        let chunks = match reply.map_err(|error| error.to_string())? {
             Body::CompressedChunks(chunks) => chunks,
-            Body::Busy => return Err(Error::Unreachable("it sends to other hosts".to_owned())),
-            _ => return Err(Error::Malformed("it sent no chunks".to_owned())),
+            Body::Busy => return Err("busy, it sends to other hosts".to_owned()),
+            _ => return Err("its reply has no chunks".to_owned()),
         };
         for chunk in chunks {
             bytes += chunk.len();
-            let (digest, chunk) = Chunk::receive(chunk)?;
+            let (digest, chunk) = Chunk::receive(chunk).map_err(|error| error.to_string())?;
             lock(archive).incoming.insert(digest, chunk);
         }
     }
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -15,7 +15,7 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::config_pull::{Cost, Foreign, Pulled, Source, encode_chunks, pull};
+use crate::config_pull::{self, Cost, Foreign, Pulled, Source, encode_chunks, pull};
 use crate::control::Incoming;
 use crate::control::dependency::Dependency;
 use crate::peers::{Arrival, SharedCodec};
@@ -273,6 +273,10 @@
         let revision = self.state.head().revision;
         let pulled = async move { pull(source, revision, archive).await };
         let written = pulled.into_actor(self).then(move |pulled, actor, _ctx| {
+            let pulled = pulled.map_err(|error| match error {
+                config_pull::Error::Store(error) => error,
+                other => Error::Unreachable(other.to_string()),
+            });
             let prepared = pulled.and_then(|pulled| {
                 let lost = actor.lost_head(&pulled);
                 actor.apply_pulled(pulled, "platform");
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -10,7 +10,7 @@
     MAX_PEERS_PER_PULL, WATCH_PAUSE, WATCH_TIMEOUT,
 };
 use crate::clock::boot_time;
-use crate::config_pull::{Source, pull};
+use crate::config_pull::{self, Source, pull};
 use crate::control::dependency;
 use crate::control::follow::DIRECT_READ_AFTER;
 use crate::prelude::*;
@@ -73,7 +73,7 @@
                 Err(error) => {
                     actor.store.record_result(Some(&error));
                     log_failure("platform", revision, started, &error);
-                    if error == Error::Missing {
+                    if error == config_pull::Error::Store(Error::Missing) {
                         // The store has dropped the history after the watched version.
                         actor.version = 0;
                     }
@@ -127,7 +127,12 @@
 }
 
 /// Logs a read that put no configuration in force; there is at most one at a time from each source.
-fn log_failure(source: impl std::fmt::Display, revision: u64, started: Instant, error: &Error) {
+fn log_failure(
+    source: impl std::fmt::Display,
+    revision: u64,
+    started: Instant,
+    error: &config_pull::Error,
+) {
     let took = started.elapsed().as_millis();
     log::info!(
         "event=config_not_read source={source} revision={revision} took_ms={took} error={error}"
