Name the type that tracks the store's eras for what it is

It is era::Tracker; the conversion of a revision to a version needs no tracker and is a function of the module. No behaviour changes.

--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -21,7 +21,7 @@
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::strike::Ledger;
-use damaskhatch_store::prelude::Era;
+use damaskhatch_store::era;
 use damaskhatch_wire::prelude::Body;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -74,7 +74,7 @@
 }
 
 /// Runs `react` each time the store was restored, until the actor ends.
-pub fn on_restore<A>(era: &Era, ctx: &mut Context<A>, react: fn(&mut A, &mut Context<A>))
+pub fn on_restore<A>(era: &era::Tracker, ctx: &mut Context<A>, react: fn(&mut A, &mut Context<A>))
 where
     A: Actor<Context = Context<A>>,
 {
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -15,7 +15,7 @@
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_policy::tenure;
-use damaskhatch_store::prelude::Era;
+use damaskhatch_store::era;
 use damaskhatch_wire::frame::{Codec, wall_ms};
 use tokio::sync::{Notify, watch};
 
@@ -69,7 +69,7 @@
         freshness: freshness_seen,
         strikes: strikes_seen,
         loads: Loads::default(),
-        era: Era::default(),
+        era: era::Tracker::default(),
         deployment,
         draining: Arc::new(AtomicBool::new(false)),
         serial: Arc::new(AtomicU64::new(1)),
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -10,7 +10,8 @@
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::rendezvous;
 use damaskhatch_policy::strike::Ledger;
-use damaskhatch_store::prelude::{Client, Era};
+use damaskhatch_store::era;
+use damaskhatch_store::prelude::Client;
 use tokio::sync::watch;
 
 use crate::control::membership::{READER_ROLE, READERS_PER_DOMAIN};
@@ -55,7 +56,7 @@
     /// Requests and tokens that this host has in flight at each upstream.
     pub loads: Loads,
     /// The latest era of the store that a call of this host has seen.
-    pub era: Era,
+    pub era: era::Tracker,
     /// The protocols and key layout of the environment that the host runs in.
     pub deployment: Deployment,
     /// Set once the host has begun to drain.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,7 +10,7 @@
 use damaskhatch_policy::position::Position;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::era::Era;
+use crate::era;
 use crate::error::{Error, Result};
 use crate::message::{Grant, Host, Item, Listing, Swap};
 use crate::protocol::{Call, Protocol, Request, Response, to_json};
@@ -35,13 +35,13 @@
 pub struct Client {
     address: SocketAddr,
     protocol: Protocol,
-    era: Era,
+    era: era::Tracker,
 }
 
 impl Client {
     /// Creates a client of the store at `address` that speaks `protocol`, and records the eras
     /// that it sees in `era`.
-    pub const fn new(address: SocketAddr, protocol: Protocol, era: Era) -> Self {
+    pub const fn new(address: SocketAddr, protocol: Protocol, era: era::Tracker) -> Self {
         Self { address, protocol, era }
     }
 
@@ -223,7 +223,7 @@
         }
         match (self.protocol.decode)(&call, head.status, &body) {
             Ok(response) => with_era(response, era),
-            Err(Error::Conflict(revision)) => Err(Error::Conflict(Era::version(era, revision)?)),
+            Err(Error::Conflict(revision)) => Err(Error::Conflict(era::version(era, revision)?)),
             Err(error) => Err(error),
         }
     }
@@ -252,7 +252,7 @@
 /// Adds the era to the numbers in a response.
 fn with_era(response: Response, era: u64) -> Result<Response> {
     let item = |item: Item| {
-        Ok::<_, Error>(Item { version: Era::version(era, item.version)?, value: item.value })
+        Ok::<_, Error>(Item { version: era::version(era, item.version)?, value: item.value })
     };
     Ok(match response {
         Response::Item(found) => Response::Item(item(found)?),
@@ -262,11 +262,11 @@
             let items = items.collect::<Result<Vec<_>>>()?;
             Response::Listing(Listing {
                 items,
-                version: Era::version(era, listing.version)?,
+                version: era::version(era, listing.version)?,
                 is_truncated: listing.is_truncated,
             })
         }
-        Response::Version(revision) => Response::Version(Era::version(era, revision)?),
+        Response::Version(revision) => Response::Version(era::version(era, revision)?),
         Response::Lease(lease) => Response::Lease(Grant { era, ..lease }),
         Response::Done | Response::Hosts(_) => response,
     })
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -1,4 +1,4 @@
-//! The era of the store that this host has seen, by which responses are ordered.
+//! Tracks the era of the store that this host has seen, by which responses are ordered.
 
 use damaskhatch_policy::position::Position;
 use tokio::sync::watch;
@@ -7,15 +7,15 @@
 
 /// The latest era that any call of a host has seen; its clones share it.
 #[derive(Debug, Clone)]
-pub struct Era(watch::Sender<Option<u64>>);
+pub struct Tracker(watch::Sender<Option<u64>>);
 
-impl Default for Era {
+impl Default for Tracker {
     fn default() -> Self {
         Self(watch::Sender::new(None))
     }
 }
 
-impl Era {
+impl Tracker {
     /// The latest era; 0 before the first response.
     pub fn latest(&self) -> u64 {
         self.0.borrow().unwrap_or(0)
@@ -45,12 +45,12 @@
         }
         Ok(())
     }
+}
 
-    /// The version of a revision in an era.
-    pub(crate) fn version(era: u64, revision: u64) -> Result<u64> {
-        let position = Position::new(era, revision);
-        position.version().ok_or_else(|| {
-            Error::Malformed(format!("position {position:?} is beyond {:?}", Position::MAX))
-        })
-    }
+/// The version of a revision in an era.
+pub(crate) fn version(era: u64, revision: u64) -> Result<u64> {
+    let position = Position::new(era, revision);
+    position.version().ok_or_else(|| {
+        Error::Malformed(format!("position {position:?} is beyond {:?}", Position::MAX))
+    })
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod prelude {
     //! The types needed to read and write the store.
     pub use crate::client::Client;
-    pub use crate::era::Era;
     pub use crate::error::{Error, Result};
     pub use crate::protocol::Protocol;
     pub use crate::store::Store;
--- a/crates/store/tests/era.rs
+++ b/crates/store/tests/era.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use damaskhatch_store::era;
 use damaskhatch_store::message::{Grant, Swap};
-use damaskhatch_store::prelude::{Client, Era, Error, Protocol};
+use damaskhatch_store::prelude::{Client, Error, Protocol};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -55,7 +56,7 @@
     }
 
     fn client(&self) -> Client {
-        Client::new(self.address, Protocol::OWN, Era::default())
+        Client::new(self.address, Protocol::OWN, era::Tracker::default())
     }
 }
 
--- a/crates/store/tests/transfers.rs
+++ b/crates/store/tests/transfers.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use damaskhatch_store::prelude::{Client, Era, Error, Protocol};
+use damaskhatch_store::era;
+use damaskhatch_store::prelude::{Client, Error, Protocol};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -38,7 +39,7 @@
 #[tokio::test]
 async fn a_value_is_read_as_long_as_its_bytes_arrive() {
     let address = start_store(10, true).await;
-    let client = Client::new(address, Protocol::OWN, Era::default());
+    let client = Client::new(address, Protocol::OWN, era::Tracker::default());
     let item = client.get("key").await.expect("the whole value");
     assert_eq!(item.value.len(), 100_000);
 }
@@ -46,7 +47,7 @@
 #[tokio::test]
 async fn a_read_fails_soon_after_its_body_stops() {
     let address = start_store(3, false).await;
-    let client = Client::new(address, Protocol::OWN, Era::default());
+    let client = Client::new(address, Protocol::OWN, era::Tracker::default());
     let started = Instant::now();
     let read = client.get("key").await;
     assert!(matches!(read, Err(Error::Unreachable(_))), "{read:?}");
