Pull from hosts of an earlier version as they expect

Found in review: a host of this version asked one of the version before for compressed chunks, which closes the connection at a message that it does not know, so that in a rolling upgrade new hosts got changes only from the store. Now they ask for texts then.

--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -280,17 +280,25 @@
 ) -> std::result::Result<usize, String> {
     let mut bytes = 0;
     for batch in missing(head, archive).chunks(CHUNKS_PER_EXCHANGE) {
-        let reply = ask(Body::GetCompressedChunks(batch.to_vec())).await;
+        let mut reply = ask(Body::GetCompressedChunks(batch.to_vec())).await;
+        if reply == Err(damaskhatch_wire::error::Error::Short) {
+            // A host of an earlier version closes the connection at a query that it does not know.
+            reply = ask(Body::GetChunks(batch.to_vec())).await;
+        }
         let chunks = match reply.map_err(|error| error.to_string())? {
-            Body::CompressedChunks(chunks) => chunks,
+            Body::CompressedChunks(chunks) => {
+                bytes += chunks.iter().map(Vec::len).sum::<usize>();
+                chunks.into_iter().map(Chunk::receive).collect()
+            }
+            Body::Chunks(texts) => {
+                bytes += texts.iter().map(String::len).sum::<usize>();
+                Ok(texts.iter().map(|text| (store::digest(text), Chunk::compress(text))).collect())
+            }
             Body::Busy => return Err("busy, it sends to other hosts".to_owned()),
             _ => return Err("its reply has no chunks".to_owned()),
         };
-        for chunk in chunks {
-            bytes += chunk.len();
-            let (digest, chunk) = Chunk::receive(chunk).map_err(|error| error.to_string())?;
-            lock(archive).incoming.insert(digest, chunk);
-        }
+        let chunks: Vec<(String, Chunk)> = chunks.map_err(|error: StoreError| error.to_string())?;
+        lock(archive).incoming.extend(chunks);
     }
     Ok(bytes)
 }
