--- a/crates/policy/src/strike.rs
+++ b/crates/policy/src/strike/mod.rs
@@ -12,21 +12,20 @@
 
 use crate::prelude::*;
 
+mod fingerprint;
+mod proven;
+mod report;
+
+pub use fingerprint::{Fingerprints, MAX_PARTS, fingerprint, part};
+use fingerprint::{first_bytes, is_part};
+pub use proven::Proven;
+pub use report::{Crash, Report, Strike};
+
 /// The number of events from which a fingerprint is refused, unless another one explains them
 /// just as well; then one more is needed.
 pub const LIMIT: usize = 2;
 /// The same for a part of prompts, which is shared with requests that crash nothing.
 pub const PART_LIMIT: usize = 3;
-/// The maximum number of parts of a prompt that are watched, so that a request's strikes fit a few
-/// datagrams.
-pub const MAX_PARTS: usize = 16;
-/// Set in the fingerprints of parts, and not in those of requests.
-const PART_BIT: u64 = 1 << 63;
-/// How long a part under which an upstream has completed a response gets no strikes.
-///
-/// Crashes that follow at once are then attributed to the parts that responses are not completed
-/// under. A part that begins to crash upstreams later gets strikes from then on.
-const PROVEN_FOR: Duration = Duration::from_secs(10);
 /// How long a fingerprint at the limit is refused after its latest strike.
 ///
 /// Doubles with each further event, since the first request after a quarantine crashes one
@@ -54,72 +53,6 @@
 /// The maximum number of strikes kept for a fingerprint; the oldest are dropped.
 const MAX_STRIKES: usize = 8;
 
-plain! { data
-    /// A run of an upstream that ended.
-    #[derive(Eq)]
-    pub struct Crash {
-        /// The tag of the upstream.
-        pub upstream: Tag,
-        /// When the run started, in milliseconds since the Unix epoch; 0 if that is unknown.
-        pub started_ms: u64,
-        /// The name of the upstream, for operators.
-        pub name: String,
-    }
-}
-
-plain! { data
-    /// A crash of one upstream while it ran a request.
-    pub struct Strike {
-        /// The fingerprint of the request; see [`fingerprint`].
-        pub fingerprint: Tag,
-        /// The run of the upstream that ended.
-        pub crash: Crash,
-        /// How long the request had been at the upstream.
-        pub ran_for: Duration,
-    }
-}
-
-impl Strike {
-    /// The strikes for a crash at `broke_at` of everything that may have caused it.
-    pub fn all(
-        fingerprints: &Fingerprints,
-        crash: &Crash,
-        sent_at: Instant,
-        broke_at: Instant,
-    ) -> Vec<Self> {
-        let all = fingerprints.all();
-        all.map(|own| Self::new(own, crash.clone(), sent_at, broke_at)).collect()
-    }
-
-    /// A strike for a crash at `broke_at` of a request that was sent to the upstream at `sent_at`.
-    pub fn new(fingerprint: Tag, crash: Crash, sent_at: Instant, broke_at: Instant) -> Self {
-        Self { fingerprint, crash, ran_for: broke_at.saturating_duration_since(sent_at) }
-    }
-}
-
-plain! { data
-    /// What may have crashed the upstream that ran a request.
-    #[derive(Eq)]
-    pub struct Fingerprints {
-        /// The request as a whole; see [`fingerprint`].
-        pub request: Tag,
-        /// The parts of its prompt that other requests may have, too; see [`part`].
-        pub parts: Vec<Tag>,
-    }
-}
-
-impl Fingerprints {
-    /// Those of a request whose prompt has no known parts.
-    pub const fn of_request(request: Tag) -> Self {
-        Self { request, parts: Vec::new() }
-    }
-
-    /// All fingerprints, that of the request first.
-    pub fn all(&self) -> impl Iterator<Item = Tag> {
-        std::iter::once(self.request).chain(self.parts.iter().copied())
-    }
-}
-
 plain! { state
     /// Why and for how long a request is refused.
     pub struct Quarantine {
@@ -132,52 +65,11 @@
     }
 }
 
-plain! { data
-    /// A strike as hosts tell it to each other.
-    pub struct Report {
-        /// The strike.
-        pub strike: Strike,
-        /// The time since the crash.
-        pub age: Duration,
-        /// Whether a later request with the fingerprint got a complete response.
-        pub is_cleared: bool,
-    }
-}
-
-/// Digests the parts that make two requests of a team the same, each with its length.
-pub fn fingerprint(team: Tag, parts: &[&[u8]]) -> Tag {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&team.0.to_le_bytes());
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    Tag(first_bytes(&hasher).0 & !PART_BIT)
-}
-
-/// Identifies a part of the prompts for a service.
-///
-/// The same for all teams: the upstreams that the part crashes are the same, too.
-pub fn part(service: Tag, id: &[u8]) -> Tag {
-    Tag(fingerprint(service, &[id]).0 | PART_BIT)
-}
-
 /// The number of events from which a fingerprint is refused.
 const fn limit(fingerprint: Tag) -> usize {
     if is_part(fingerprint) { PART_LIMIT } else { LIMIT }
 }
 
-const fn is_part(fingerprint: Tag) -> bool {
-    fingerprint.0 & PART_BIT != 0
-}
-
-/// The first eight bytes of the digest as a tag.
-fn first_bytes(hasher: &blake3::Hasher) -> Tag {
-    let digest = hasher.finalize();
-    let (head, _) = digest.as_bytes().split_at(8);
-    Tag(u64::from_le_bytes(head.try_into().expect("eight bytes")))
-}
-
 #[derive(Debug, Clone)]
 struct Entry {
     strike: Strike,
@@ -455,31 +347,6 @@
     }
 }
 
-/// The parts of prompts under which upstreams have lately completed responses, as seen by one host.
-#[derive(Debug, Clone, Default)]
-pub struct Proven {
-    completed_at: HashMap<Tag, Instant>,
-}
-
-impl Proven {
-    /// Records a complete response under a part.
-    pub fn record(&mut self, part: Tag, completed_at: Instant) {
-        if self.completed_at.len() >= MAX_FINGERPRINTS {
-            self.completed_at
-                .retain(|_, at| completed_at.saturating_duration_since(*at) < PROVEN_FOR);
-        }
-        if self.completed_at.len() < MAX_FINGERPRINTS {
-            self.completed_at.insert(part, completed_at);
-        }
-    }
-
-    /// Whether a crash is not attributed to the part, because a response was completed lately.
-    pub fn contains(&self, part: Tag, now: Instant) -> bool {
-        let completed_at = self.completed_at.get(&part);
-        completed_at.is_some_and(|at| now.saturating_duration_since(*at) < PROVEN_FOR)
-    }
-}
-
 fn report(entry: &Entry, now: Instant) -> Report {
     let age = now.saturating_duration_since(entry.crashed_at);
     Report { strike: entry.strike.clone(), age, is_cleared: entry.is_cleared }
