--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -21,7 +21,7 @@
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long one query and its reply over TCP may take as long as they make progress.
 ///
-/// Below the age at which a frame is rejected; the largest takes a third of it at 10 Mbit/s.
+/// Below the age at which a frame is rejected; the largest takes less than half of it at 10 Mbit/s.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(8);
 /// The most bytes that are written before the next check for progress.
 const PIECE_BYTES: usize = 64 << 10;
