Keep to the limits that upstreams name, over all hosts together

Callers saw an upstream that had named a limit overloaded all the same: three hosts sent 122 requests in 4 s where 29 are allowed. Cause: no host read the limit, and had each kept to it alone, the fleet would have sent as many times more as it has hosts.

One live host grants the requests to a limited upstream one by one, for all hosts; every send takes a permit, on routes and on the own interface. Limits learned by one host are told to all at once. It works because the whole limit is in one bucket, which starts empty and holds one request: there are no parts to waste or to burst.

--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod dependency;
 pub mod follow;
+pub mod limits;
 pub mod listing;
 pub mod membership;
 pub mod quota;
@@ -18,6 +19,7 @@
 use actix::{Arbiter, Supervisor};
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::limit;
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::strike::Ledger;
@@ -49,6 +51,8 @@
     pub freshness: watch::Sender<Freshness>,
     /// The requests that crashed upstreams.
     pub strikes: watch::Sender<Arc<Ledger>>,
+    /// The limits that upstreams have named.
+    pub limits: watch::Sender<Arc<limit::Table>>,
 }
 
 /// The addresses of all control actors.
@@ -68,6 +72,8 @@
     pub claims: Addr<claims::Claims>,
     /// Records which requests crash upstreams.
     pub strikes: Addr<strikes::Strikes>,
+    /// Learns the limits that upstreams name, and grants requests to limited ones.
+    pub limits: Addr<limits::Limits>,
     /// Obtains the configuration, its freshness and the upstreams from hosts that read the store;
     /// `None` if the deployment has no catalogue of upstreams.
     pub follow: Option<Addr<follow::Follow>>,
@@ -109,7 +115,7 @@
         archive: &configuration::SharedArchive,
         publish: Publishers,
     ) -> Self {
-        let Publishers { config, view, registry, freshness, strikes } = publish;
+        let Publishers { config, view, registry, freshness, strikes, limits } = publish;
         let follow_freshness = freshness.clone();
         let thread = arbiter.handle();
         let membership = {
@@ -151,6 +157,10 @@
                 strikes::Strikes::new(shared, scheduling, channels)
             })
         };
+        let limits = {
+            let shared = shared.clone();
+            Supervisor::start_in_arbiter(&thread, |_| limits::Limits::new(shared, limits))
+        };
         let follow = shared.deployment.catalogue.map(|catalogue| {
             let listing = {
                 let (shared, archive) = (shared.clone(), Arc::clone(archive));
@@ -168,7 +178,17 @@
             let shared = shared.clone();
             Supervisor::start_in_arbiter(&thread, |_| stages::Stages::new(shared));
         }
-        Self { membership, configuration, quota, roster, scheduling, claims, strikes, follow }
+        Self {
+            membership,
+            configuration,
+            quota,
+            roster,
+            scheduling,
+            claims,
+            strikes,
+            limits,
+            follow,
+        }
     }
 
     /// Sends a message to the actor that handles its kind.
@@ -194,6 +214,9 @@
             Body::Strikes(_) | Body::StrikeDigest { .. } => {
                 self.strikes.do_send(Incoming(arrival));
             }
+            Body::Limits(_) | Body::GetLimits | Body::Ask { .. } | Body::Permit { .. } => {
+                self.limits.do_send(Incoming(arrival));
+            }
             Body::Withdraw(_) | Body::Withdrawn(_) => self.configuration.do_send(Incoming(arrival)),
             Body::Vouch { .. } | Body::GetVouch { .. } | Body::RosterChanged { .. } => {
                 self.roster.do_send(Incoming(arrival));
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -13,17 +13,20 @@
 use super::charge::charge;
 use super::closed::Closed;
 use super::generate::{self, Done, Failure, Job};
-use super::hold::Charged;
+use super::hold::{Charged, Lease};
 use super::idempotency;
 use super::openai::{self, Completion, Style};
 use super::place::acquire;
 use super::refusal::Refusal;
 use super::stream::{Piece, complete_response, events};
 use super::{Entry, read_body};
+use crate::relay::permit::{self, Permit, Terms};
 use crate::upstream::engine::Error;
 
 /// The length of one prompt block in bytes, at an assumed 4 bytes per token.
 const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * 4;
+/// How long an attempt waits for a permit of an engine that has used up its limit.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(250);
 /// The priority of an attempt for a request without a token yet.
 const PRIORITY_NEW: i32 = 0;
 /// The priority of an attempt that continues a response whose first tokens are generated.
@@ -190,6 +193,9 @@
     let mut next = 0;
     let mut may_have_run = false;
     let mut avoid = Vec::new();
+    // The refusal if no further attempt is made.
+    let mut held_back = Refusal::from(Kind::UpstreamFailed);
+    let mut is_retry = false;
     let mut last_token_at: Option<Instant> = None;
     for attempt in 0..MAX_ATTEMPTS {
         let id = if attempt == 0 { work.request } else { entry.shared.next_request() };
@@ -200,14 +206,30 @@
         if work.caller.is_withdrawn(&entry.shared.snapshot()) {
             return Err(Refusal::from(Kind::KeyWithdrawn).with_may_have_run(may_have_run));
         }
+        let permits = match acquire_permits(entry, work, &lease).await {
+            Ok(permits) => permits,
+            Err(HeldBack { engine, retry_after }) => {
+                // Nothing was sent: another pair is tried, and no retry spent.
+                lease.finish();
+                avoid.push(engine);
+                held_back = Refusal::after(Kind::Overloaded, retry_after);
+                continue;
+            }
+        };
+        // Spent once the engines may get the request, so that none is spent in vain.
+        if is_retry && !entry.spend_retry() {
+            lease.finish();
+            return Err(held_back.with_may_have_run(may_have_run));
+        }
         let job = Job {
+            entry,
             team: &work.caller.name,
             prompt: &work.completion.prompt,
             max_tokens: work.max_tokens,
             priority: if next > 0 { PRIORITY_RESUMED } else { PRIORITY_NEW },
         };
         let sent_at = Instant::now();
-        let running = generate::run(&mut lease, &job, &mut next, |token| {
+        let running = generate::run(&mut lease, &job, permits, &mut next, |token| {
             observe_token(metrics, work.prepared_at, &mut last_token_at);
             spend_token(&mut charged, work);
             emit(token);
@@ -226,11 +248,35 @@
         may_have_run |= is_prefilled || reach == retry::Reach::MayHaveRun;
         record_failure(entry, work, Attempt { id, number: attempt, sent_at }, &failure).await;
         avoid.push(failure.engine);
-        if !retry::is_safe(reach, work.repeatable) || !entry.spend_retry() {
-            return Err(refusal_for(&failure).with_may_have_run(may_have_run));
+        is_retry = true;
+        held_back = refusal_for(&failure);
+        if !retry::is_safe(reach, work.repeatable) {
+            return Err(held_back.with_may_have_run(may_have_run));
         }
     }
-    Err(Refusal::from(Kind::UpstreamFailed).with_may_have_run(may_have_run))
+    Err(held_back.with_may_have_run(may_have_run))
+}
+
+/// An engine whose limit is used up, and when a request may come back.
+#[derive(Debug)]
+struct HeldBack {
+    engine: Tag,
+    retry_after: Duration,
+}
+
+/// Obtains the permits for the requests to the prefill engine and to the decode engine of a pair.
+async fn acquire_permits(
+    entry: &Entry,
+    work: &Work,
+    lease: &Lease,
+) -> Result<[Permit; 2], HeldBack> {
+    let terms = Terms { team: work.caller.tag, priority: 0, patience: PERMIT_PATIENCE };
+    let acquire = async |engine| {
+        let acquired = permit::acquire(entry, (engine, 0), terms).await;
+        acquired.map_err(|retry_after| HeldBack { engine, retry_after })
+    };
+    let decode = acquire(lease.pair.decode).await?;
+    Ok([acquire(lease.pair.prefill).await?, decode])
 }
 
 /// Observes the latency of a token: since the request was prepared for the first one, since
--- a/crates/damaskhatch/src/entry/generate.rs
+++ b/crates/damaskhatch/src/entry/generate.rs
@@ -3,10 +3,14 @@
 //! A token stream that breaks or goes silent is resumed at the next token over a new
 //! connection, so that no token is lost or duplicated.
 
+use damaskhatch_exchange::HeaderMap;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::schedule::message::Phase;
 
+use super::completion::upstream_name;
 use super::hold::Lease;
+use super::{Entry, Run};
+use crate::relay::permit::Permit;
 use crate::upstream::engine::{self, Error, Tokens};
 use crate::upstream::message::{Decode, Event, Line, Prefill, Resume};
 
@@ -18,6 +22,8 @@
 /// What an attempt generates.
 #[derive(Debug)]
 pub struct Job<'a> {
+    /// The state shared by this host's handlers.
+    pub entry: &'a Entry,
     /// The name of the team.
     pub team: &'a str,
     /// The prompt as text.
@@ -50,13 +56,17 @@
 
 /// Runs an attempt from token `next` on, and advances `next`.
 ///
-/// `emit` is called once for each token, in order.
+/// `permits` are those for the requests to the prefill engine and to the decode engine. `emit` is
+/// called once for each token, in order.
 pub async fn run(
     lease: &mut Lease,
     job: &Job<'_>,
+    permits: [Permit; 2],
     next: &mut u32,
     mut emit: impl FnMut(&str),
 ) -> Result<Done, Failure> {
+    let [prefill_permit, decode_permit] = permits;
+    prefill_permit.spend();
     let kv = prefill(lease, job).await?;
     let call = Decode {
         request: lease.request.to_string(),
@@ -69,7 +79,10 @@
         priority: job.priority,
     };
     lease.needs_decode_cancel = true;
-    let opened = engine::decode(&lease.decode_address, &call).await;
+    decode_permit.spend();
+    let (engine, sent_at) = (lease.pair.decode, Instant::now());
+    let learn = |headers: &HeaderMap| learn_limit(job.entry, engine, sent_at, headers);
+    let opened = engine::decode(&lease.decode_address, &call, learn).await;
     let mut stream = match opened {
         Ok(stream) => stream,
         Err(error) => resume_stream(lease, *next, error).await?,
@@ -123,7 +136,9 @@
         priority: job.priority,
     };
     lease.needs_prefill_cancel = true;
-    match engine::prefill(&lease.prefill_address, &call).await {
+    let (engine, sent_at) = (lease.pair.prefill, Instant::now());
+    let learn = |headers: &HeaderMap| learn_limit(job.entry, engine, sent_at, headers);
+    match engine::prefill(&lease.prefill_address, &call, learn).await {
         Ok(prefilled) => Ok(prefilled.kv),
         Err(error) => {
             let is_crash =
@@ -133,6 +148,12 @@
     }
 }
 
+/// Takes into account what an engine's response says about its limit.
+fn learn_limit(entry: &Entry, engine: Tag, sent_at: Instant, headers: &HeaderMap) {
+    let name = upstream_name(&entry.shared.snapshot(), engine);
+    entry.observe_limit(Run { name: &name, tag: engine, started_ms: 0 }, sent_at, headers);
+}
+
 /// Resumes the stream over a new connection after `error`.
 ///
 /// An engine that refuses or breaks the new connection or no longer knows the request has
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -26,11 +26,15 @@
 use super::idempotency::{self, Response};
 use super::openai::estimate_tokens;
 use super::refusal::Refusal;
-use super::{Entry, read_body};
+use super::{Entry, Run, read_body};
 use crate::headers;
+use crate::relay::permit::{self, Permit, Terms};
 use crate::upstream::engine::Error;
 use crate::upstream::plain;
 
+/// How long a call waits for a permit if all upstreams have used up their limits.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(250);
+
 /// A call that is parsed and authorized.
 #[derive(Debug)]
 struct Work {
@@ -165,22 +169,32 @@
     entry.earn_retry();
     let mut may_have_run = false;
     let mut avoid = HashSet::new();
+    // How the last attempt ended.
+    let mut last = Refusal::from(Kind::NoUpstream);
     for attempt in 0..MAX_ATTEMPTS {
         entry.check_quarantine(work.request, &work.fingerprints, may_have_run)?;
         let snapshot = entry.shared.snapshot();
         if work.caller.is_withdrawn(&snapshot) {
             return Err(Refusal::from(Kind::KeyWithdrawn).with_may_have_run(may_have_run));
         }
-        let Some(upstream) = choose_upstream(entry, &snapshot, work, &avoid, attempt) else {
-            return Err(Refusal::from(Kind::NoUpstream).with_may_have_run(may_have_run));
-        };
+        let chosen = choose_upstream(entry, &snapshot, work, &avoid, attempt).await;
+        let (upstream, permit) =
+            chosen.map_err(|refusal| refusal.with_may_have_run(may_have_run))?;
+        // Spent once the upstream may get the call, so that none is spent in vain.
+        if attempt > 0 && !entry.spend_retry() {
+            return Err(last.with_may_have_run(may_have_run));
+        }
         let _entered = entry.in_flight.enter(upstream);
         let address = snapshot.upstream(upstream).map(|u| snapshot.upstreams[u].address.clone());
         let sent_at = Instant::now();
         let address = address.unwrap_or_default();
         let is_leaving =
             || entry.shared.hosts().leaving_upstreams(Instant::now()).contains(&upstream);
-        let called = plain::call(&address, &work.call, work.request, is_leaving).await;
+        permit.spend();
+        let name = upstream_name(&snapshot, upstream);
+        let run = Run { name: &name, tag: upstream, started_ms: 0 };
+        let learn = |headers: &HeaderMap| entry.observe_limit(run, sent_at, headers);
+        let called = plain::call(&address, &work.call, work.request, is_leaving, learn).await;
         let error = match called {
             Ok((response, verdict)) => {
                 spend_all(&mut charged);
@@ -200,8 +214,9 @@
         let failed = Failed { upstream, attempt, error, sent_at };
         record_failure(entry, work, &failed, &snapshot).await;
         avoid.insert(upstream);
-        if !retry::is_safe(reach, work.repeatable) || !entry.spend_retry() {
-            return Err(refusal_for(error).with_may_have_run(may_have_run));
+        last = refusal_for(error);
+        if !retry::is_safe(reach, work.repeatable) {
+            return Err(last.with_may_have_run(may_have_run));
         }
     }
     Err(Refusal::from(Kind::NoUpstream).with_may_have_run(may_have_run))
@@ -214,14 +229,63 @@
     }
 }
 
-/// Chooses an upstream in this host's domain, or in another if this one has no usable upstream.
-fn choose_upstream(
+/// Chooses an upstream in this host's domain, or in another if this one has no usable upstream, and
+/// obtains the permit for the call.
+///
+/// Upstreams whose limit is used up are left to others; if all are, the call waits for a permit of
+/// one of them for [`PERMIT_PATIENCE`].
+async fn choose_upstream(
     entry: &Entry,
     snapshot: &Snapshot,
     work: &Work,
     avoid: &HashSet<Tag>,
     attempt: u32,
-) -> Option<Tag> {
+) -> Result<(Tag, Permit), Refusal> {
+    let mut held_back = avoid.clone();
+    let mut soonest: Option<Duration> = None;
+    let terms = Terms { team: work.caller.tag, priority: 0, patience: Duration::ZERO };
+    let mut first = None;
+    while let Some(pool) = usable_upstreams(entry, snapshot, work, &held_back) {
+        let Pool { upstreams, reason } = pool;
+        let chosen = route::choose_plain(&upstreams, &entry.in_flight.snapshot(), &mut rand::rng());
+        let Some(chosen) = chosen else { break };
+        first.get_or_insert((chosen, reason));
+        match permit::acquire(entry, (chosen, 0), terms).await {
+            Ok(permit) => {
+                log_route(entry, snapshot, work, (chosen, reason), attempt);
+                return Ok((chosen, permit));
+            }
+            Err(wait) => soonest = Some(soonest.map_or(wait, |soonest| soonest.min(wait))),
+        }
+        held_back.insert(chosen);
+    }
+    let (Some((chosen, reason)), Some(soonest)) = (first, soonest) else {
+        return Err(Kind::NoUpstream.into());
+    };
+    let terms = Terms { patience: PERMIT_PATIENCE, ..terms };
+    match permit::acquire(entry, (chosen, 0), terms).await {
+        Ok(permit) => {
+            log_route(entry, snapshot, work, (chosen, reason), attempt);
+            Ok((chosen, permit))
+        }
+        Err(wait) => Err(Refusal::after(Kind::Overloaded, wait.min(soonest))),
+    }
+}
+
+/// The upstreams of one choice, and why these.
+#[derive(Debug)]
+struct Pool {
+    upstreams: Vec<Tag>,
+    reason: &'static str,
+}
+
+/// The usable upstreams of this host's domain, or of all others; `None` if there is none.
+fn usable_upstreams(
+    entry: &Entry,
+    snapshot: &Snapshot,
+    work: &Work,
+    avoid: &HashSet<Tag>,
+) -> Option<Pool> {
     let leaving = entry.shared.hosts().leaving_upstreams(Instant::now());
     let listed = snapshot.services[work.service].upstreams.iter();
     let usable = listed
@@ -231,19 +295,27 @@
         usable.partition(|item| item.domain == entry.shared.domain);
     let (pool, reason) =
         if local.is_empty() { (remote, "other_domain") } else { (local, "own_domain") };
-    let pool: Vec<Tag> = pool.iter().map(|item| item.tag).collect();
-    let chosen = route::choose_plain(&pool, &entry.in_flight.snapshot(), &mut rand::rng())?;
+    let upstreams: Vec<Tag> = pool.iter().map(|item| item.tag).collect();
+    (!upstreams.is_empty()).then_some(Pool { upstreams, reason })
+}
+
+/// Logs the chosen upstream.
+fn log_route(
+    entry: &Entry,
+    snapshot: &Snapshot,
+    work: &Work,
+    (chosen, reason): (Tag, &str),
+    attempt: u32,
+) {
     let (team, service) = (&work.caller.name, &snapshot.services[work.service].name);
-    let upstream = snapshot.upstream(chosen)?;
-    let name = &snapshot.upstreams[upstream].name;
+    let name = upstream_name(snapshot, chosen);
     entry.shared.journal.record(
         work.request,
         format_args!(
-            "event=route team={team} service={service} upstream={upstream}:{name} \
+            "event=route team={team} service={service} upstream={chosen}:{name} \
              reason={reason} attempt={attempt}"
         ),
     );
-    Some(chosen)
 }
 
 /// A failed attempt at a call.
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -11,6 +11,7 @@
 use actix_web::{App, HttpResponse, HttpServer, web};
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::limit;
 use damaskhatch_policy::prelude::Tag;
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::strike::Ledger;
@@ -55,6 +56,7 @@
     let (registry, registry_seen) = watch::channel(Arc::new(Registry::default()));
     let (freshness, freshness_seen) = watch::channel(Freshness::default());
     let (strikes, strikes_seen) = watch::channel(Arc::new(Ledger::default()));
+    let (limits, limits_seen) = watch::channel(Arc::new(limit::Table::default()));
     let shared = Shared {
         host,
         domain,
@@ -68,6 +70,7 @@
         registry: registry_seen,
         freshness: freshness_seen,
         strikes: strikes_seen,
+        limits: limits_seen,
         loads: Loads::default(),
         era: era::Tracker::default(),
         deployment,
@@ -81,7 +84,7 @@
     let archive = Arc::new(Mutex::new(Archive::default()));
 
     let arbiter = Arbiter::new();
-    let publishers = Publishers { config, view, registry, freshness, strikes };
+    let publishers = Publishers { config, view, registry, freshness, strikes, limits };
     let control = Control::start(&arbiter, &shared, &codec, &archive, publishers);
     let recipient = control.clone();
     let datagrams = Datagrams {
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -3,7 +3,8 @@
 //! docs/OPERATIONS.md describes how to respond to a change of each metric.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Histogram bounds for queue waits and times to the first token, in seconds.
@@ -40,6 +41,10 @@
     pub strikes: IntCounter,
     /// Fingerprints of requests that are refused because they crashed upstreams.
     pub quarantined: IntGauge,
+    /// The limits that upstreams have named, in requests a second, by upstream.
+    pub limits: GaugeVec,
+    /// Requests of this host to limited upstreams, by upstream and by whether one was permitted.
+    pub limited: IntCounterVec,
     /// Pairs of engines that this host chose itself, without a scheduler.
     pub fallbacks: IntCounter,
     /// Cancellations that an engine has not confirmed yet.
@@ -99,6 +104,13 @@
             ),
             strikes: counter(r, "strikes_total", "Crashes of upstreams under requests."),
             quarantined: gauge(r, "quarantined", "Requests refused for crashing upstreams."),
+            limits: gauges(r, "upstream_limit", "Requests a second allowed.", &["upstream"]),
+            limited: counters(
+                r,
+                "limited_requests_total",
+                "Requests to limited upstreams.",
+                &["upstream", "result"],
+            ),
             fallbacks: counter(r, "fallbacks_total", "Pairs chosen without a scheduler."),
             cancels_open: gauge(r, "cancels_open", "Cancellations not confirmed yet."),
             frames_dropped: counters(r, "frames_dropped_total", "Frames dropped.", &["reason"]),
@@ -143,6 +155,11 @@
     register(registry, metric.expect("the name is valid"))
 }
 
+fn gauges(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    let metric = GaugeVec::new(Opts::new(full_name(short), help), labels);
+    register(registry, metric.expect("the name is valid"))
+}
+
 fn gauge(registry: &Registry, short: &str, help: &str) -> IntGauge {
     register(registry, IntGauge::new(full_name(short), help).expect("the name is valid"))
 }
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -309,6 +309,7 @@
         | Body::GetListing { .. }
         | Body::Listing { .. } => "config",
         Body::GetFreshness { .. } | Body::Freshness { .. } => "news",
+        Body::Limits(_) | Body::GetLimits | Body::Ask { .. } | Body::Permit { .. } => "limit",
         Body::Vouch { .. }
         | Body::GetVouch { .. }
         | Body::RosterChanged { .. }
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -15,6 +15,7 @@
 use crate::headers;
 use crate::relay::crash::{Broken, Pending, examine, judge_close};
 use crate::relay::dialect::Call;
+use crate::relay::permit::Permit;
 use crate::relay::request::Routed;
 use crate::upstream::events;
 
@@ -58,6 +59,8 @@
 
 /// Sends a request with additional headers to an upstream and waits for the response's head.
 ///
+/// Also learns from the response which limit the upstream has.
+///
 /// # Errors
 ///
 /// Fails if the exchange fails or times out, if the response says that the request was
@@ -66,6 +69,7 @@
     entry: &Entry,
     routed: &Routed,
     upstream: &registry::Entry,
+    permit: Permit,
     extra: &[(&'static str, String)],
 ) -> Result<Response, Failure> {
     let names = &entry.shared.deployment.dialect.headers;
@@ -83,6 +87,8 @@
         is_upstream_at_fault: false,
     })?;
     *request.headers_mut() = headers;
+    permit.spend();
+    let sent_at = Instant::now();
     let mut pending = Pending::new(entry, routed, upstream);
     let sent = exchange::send(upstream.address, CONNECT_TIMEOUT, request);
     let sent = tokio::time::timeout_at(routed.limit, sent).await;
@@ -91,7 +97,13 @@
         Ok(sent) => sent.map_err(|error| Failure::from_exchange(&error))?,
         Err(_elapsed) => return Err(Failure::timed_out()),
     };
-    check_response(entry, routed, &response)?;
+    check_response(entry, routed, &response).inspect_err(|failure| {
+        // A response that declines also tells the upstream's limit, if it is from this upstream.
+        if failure.outcome == Outcome::NotRun && !failure.is_upstream_at_fault {
+            entry.observe_limit(upstream.into(), sent_at, &response.head.headers);
+        }
+    })?;
+    entry.observe_limit(upstream.into(), sent_at, &response.head.headers);
     Ok(response)
 }
 
@@ -180,13 +192,17 @@
     Ok(())
 }
 
+/// Whether the request may be sent to another upstream, leaving the budget aside.
+pub fn may_retry(routed: &Routed, history: History) -> bool {
+    Instant::now() < routed.limit
+        && history.may_retry(routed.route.repeat, routed.route.max_attempts)
+}
+
 /// Spends a retry of the service's budget if the request may be sent to another upstream.
 ///
 /// Returns false if the time limit has passed, or if the route or the budget allows no retry.
 pub fn try_acquire_retry(entry: &Entry, routed: &Routed, history: History) -> bool {
-    Instant::now() < routed.limit
-        && history.may_retry(routed.route.repeat, routed.route.max_attempts)
-        && entry.spend_service_retry(routed.service)
+    may_retry(routed, history) && entry.spend_service_retry(routed.service)
 }
 
 /// An upstream to which a request was sent.
--- a/crates/damaskhatch/src/relay/dialect.rs
+++ b/crates/damaskhatch/src/relay/dialect.rs
@@ -74,6 +74,8 @@
     /// On responses: the upstream's running requests, waiting requests and slots, separated by
     /// commas.
     pub load: &'static str,
+    /// On responses: the requests a second that the upstream takes from all hosts together.
+    pub limit: &'static str,
     /// Further headers that are dropped from callers' requests.
     pub reserved: &'static [&'static str],
 }
@@ -121,6 +123,7 @@
             reservation: "x-damaskhatch-reservation",
             not_run: "x-damaskhatch-not-run",
             load: "x-damaskhatch-load",
+            limit: "x-damaskhatch-limit",
             reserved: &[],
         },
         key_scheme: "Bearer",
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -4,6 +4,7 @@
 
 use actix_web::HttpResponse;
 use damaskhatch_exchange::Head;
+use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::backlog::Report;
 use damaskhatch_policy::ending::Verdict;
@@ -12,9 +13,9 @@
 use damaskhatch_policy::registry;
 
 use super::attempt::{
-    Attempt, Complete, Failure, check_admission, read_complete, record_failure, send,
-    try_acquire_retry,
+    Attempt, Complete, Failure, check_admission, may_retry, read_complete, record_failure, send,
 };
+use super::permit::{self, Permit, Terms};
 use super::request::Routed;
 use super::response::build_response;
 use crate::entry::Entry;
@@ -35,7 +36,21 @@
     let mut failed: Option<Complete> = None;
     entry.earn_service_retry(routed.service);
     check_backlog(entry, &routed)?;
-    while let Some(upstream) = choose_upstream(entry, &routed, &tried) {
+    // When the request may come back if the limits of all upstreams are used up.
+    let mut held_back = None;
+    while history.attempts == 0 || may_retry(&routed, history) {
+        let (upstream, permit) = match choose_upstream(entry, &routed, &tried).await {
+            Ok(Some(chosen)) => chosen,
+            Ok(None) => break,
+            Err(retry_after) => {
+                held_back = Some(retry_after);
+                break;
+            }
+        };
+        // Spent once the upstream may get the request, so that none is spent in vain.
+        if history.attempts > 0 && !entry.spend_service_retry(routed.service) {
+            break;
+        }
         if let Err(refusal) = check_admission(entry, &routed, history) {
             if failed.is_some() {
                 break;
@@ -49,7 +64,7 @@
         let guard = entry.shared.loads.track(upstream.tag, load);
         let sent_at = Instant::now();
         let attempt = Attempt { upstream: &upstream, sent_at, phase: "plain", history };
-        let result = run_attempt(entry, &routed, attempt).await;
+        let result = run_attempt(entry, &routed, attempt, permit).await;
         drop(guard);
         let outcome = result.as_ref().map_or_else(|failure| failure.outcome, |_| Outcome::Ran);
         history.record(outcome);
@@ -69,14 +84,12 @@
                 record_failure(entry, &routed, attempt, &failure).await;
             }
         }
-        if !try_acquire_retry(entry, &routed, history) {
-            break;
-        }
     }
     if let Some(Complete { head, body, .. }) = failed {
         return Ok(build_response(&head).body(body));
     }
-    Err(build_refusal(&routed, history))
+    let refusal = build_refusal(&routed, history);
+    Err(Refusal { retry_after: refusal.retry_after.max(held_back), ..refusal })
 }
 
 /// Refuses a fraction of the requests while the backlog of the service's upstreams is too long
@@ -111,8 +124,9 @@
     entry: &Entry,
     routed: &Routed,
     attempt: Attempt<'_>,
+    permit: Permit,
 ) -> Result<Complete, Failure> {
-    let response = send(entry, routed, attempt.upstream, &[]).await?;
+    let response = send(entry, routed, attempt.upstream, permit, &[]).await?;
     observe_load(entry, routed, &response.head, attempt.sent_at);
     read_complete(entry, routed, attempt, response, MAX_RESPONSE_BYTES).await
 }
@@ -127,12 +141,31 @@
     }
 }
 
-/// The best usable upstream that has not been tried; ejected ones only if there is no other.
-fn choose_upstream(
+/// The best usable upstream that has not been tried and may get a request, with the permit;
+/// ejected ones only if there is no other, and `None` if there is none at all.
+///
+/// # Errors
+///
+/// Returns when the request may come back, if the limits of all upstreams are used up.
+async fn choose_upstream(
     entry: &Entry,
     routed: &Routed,
     tried: &HashSet<Tag>,
-) -> Option<registry::Entry> {
+) -> Result<Option<(registry::Entry, Permit)>, Duration> {
+    let ranked = rank_upstreams(entry, routed, tried);
+    if ranked.is_empty() {
+        return Ok(None);
+    }
+    let patience = admission::patience(routed.route.target_latency);
+    let until = (routed.arrived_at + patience).min(routed.limit);
+    let chosen = permit::choose(entry, &ranked, Terms::of(entry, routed, until)).await;
+    chosen.map(Some).inspect_err(|retry_after| {
+        permit::log_held_back(entry, routed, ranked.len(), *retry_after);
+    })
+}
+
+/// The usable upstreams that have not been tried, the best first.
+fn rank_upstreams(entry: &Entry, routed: &Routed, tried: &HashSet<Tag>) -> Vec<registry::Entry> {
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
     let usable: Vec<_> = registry.usable(service).filter(|e| !tried.contains(&e.tag)).collect();
@@ -143,7 +176,7 @@
     let pool = if healthy.is_empty() { usable } else { healthy };
     let (loads, domain) = (entry.known_loads(), entry.shared.domain);
     let ranked = placement::rank_plain(pool.into_iter(), &loads, domain, &mut rand::rng());
-    ranked.first().map(|entry| (*entry).clone())
+    ranked.into_iter().cloned().collect()
 }
 
 /// Logs the chosen upstream.
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod held;
 pub mod load;
 pub mod pair;
+pub mod permit;
 pub mod request;
 pub mod response;
 pub mod stream;
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -20,6 +20,7 @@
 
 use super::attempt::{Attempt, Failure, check_admission, record_failure, send, try_acquire_retry};
 use super::held::{Export, Reservation};
+use super::permit::{self, Permit, Terms};
 use super::request::{Routed, Tokens};
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
@@ -92,7 +93,7 @@
         check_admission(entry, routed, progress.history)?;
         let reserved = reserve(entry, routed, terms, progress).await;
         // After an attempt that may have run, a status that means "not run" would be false.
-        let mut reservation = reserved.map_err(|refusal| {
+        let (mut reservation, permit) = reserved.map_err(|refusal| {
             let failed = Refusal::from(Kind::UpstreamFailed).with_may_have_run(true);
             if progress.history.may_have_run { failed } else { refusal }
         })?;
@@ -109,7 +110,7 @@
         reservation.mark_used();
         routed.keep_charge();
         let sent_at = Instant::now();
-        let sent = send(entry, routed, &reservation.upstream, &extra).await;
+        let sent = send(entry, routed, &reservation.upstream, permit, &extra).await;
         let failure = match sent {
             Ok(response) => {
                 progress.history.record(Outcome::Ran);
@@ -142,7 +143,7 @@
     routed: &Routed,
     terms: EngineTerms,
     progress: &Progress,
-) -> Result<Reservation, Refusal> {
+) -> Result<(Reservation, Permit), Refusal> {
     let Tokens { prompt, max_output, hint } = routed.tokens.unwrap_or_default();
     let capacity = terms.memory_tokens;
     let need = entry.with_learned(routed.service, |learned| {
@@ -164,12 +165,32 @@
             capacity,
             MAX_RESERVATIONS_PER_ROUND,
         );
-        for engine in engines.iter().take(fanout) {
+        let mut rest: &[registry::Entry] = &engines;
+        let mut asked = 0;
+        while asked < fanout {
+            let limits = Terms::of(entry, routed, give_up_at);
+            let chosen = if asked == 0 {
+                permit::choose(entry, rest, limits).await
+            } else {
+                permit::choose_now(entry, rest, limits).await
+            };
+            let (engine, permit) = match chosen {
+                Ok(chosen) => chosen,
+                // Their limits allow none of them a request soon enough.
+                Err(wait) if asked == 0 && !engines.is_empty() => {
+                    permit::log_held_back(entry, routed, engines.len(), wait);
+                    return Err(Refusal::after(Kind::Overloaded, wait.max(retry_after())));
+                }
+                Err(_wait) => break,
+            };
+            asked += 1;
             if let Some(reservation) =
-                Reservation::acquire(entry, engine, terms, need, routed).await
+                Reservation::acquire(entry, &engine, terms, need, routed).await
             {
-                return Ok(reservation);
+                return Ok((reservation, permit));
             }
+            let at = rest.iter().position(|other| other.tag == engine.tag).unwrap_or(0);
+            rest = &rest[at + 1..];
         }
         let next = Instant::now() + ROUND_PAUSE.mul_f64(0.5 + rand::random::<f64>());
         if next >= give_up_at {
@@ -225,18 +246,19 @@
         // The first of two engines may have crashed under the request.
         check_admission(entry, routed, progress.history)?;
         let now = Instant::now();
-        let chosen = {
+        let ranked = {
             let outliers = entry.outliers();
             let usable = registry
                 .usable(service)
                 .filter(|e| e.role == Some(Role::Prefill) && !outliers.is_ejected(e.tag, now));
             let (loads, domain) = (entry.known_loads(), entry.shared.domain);
-            placement::rank_prefill(usable, &loads, domain, &mut rand::rng())
-                .first()
-                .copied()
-                .cloned()
+            let ranked = placement::rank_prefill(usable, &loads, domain, &mut rand::rng());
+            ranked.into_iter().cloned().collect::<Vec<_>>()
+        };
+        let limits = Terms::of(entry, routed, now);
+        let Ok((engine, permit)) = permit::choose_now(entry, &ranked, limits).await else {
+            return Ok(None);
         };
-        let Some(engine) = chosen else { return Ok(None) };
 
         // All calls after the first are charged to the retry budget, however the first ended.
         if std::mem::replace(&mut progress.was_prefill_requested, true)
@@ -247,7 +269,7 @@
         let prompt = routed.tokens.unwrap_or_default().prompt + progress.tokens_done;
         let load = Load { prefill_tokens: prompt, ..Load::default() };
         let _guard = entry.shared.loads.track(engine.tag, load);
-        match request_export(entry, routed, &engine, &phase).await {
+        match request_export(entry, routed, (&engine, permit), &phase).await {
             Ok(export) => return Ok(Some(export)),
             Err(mut failure) => {
                 // An engine that declines prefills, being full or changing its role, goes on to do so
@@ -266,11 +288,11 @@
 async fn request_export(
     entry: &Entry,
     routed: &Routed,
-    engine: &registry::Entry,
+    (engine, permit): (&registry::Entry, Permit),
     phase: &str,
 ) -> Result<Export, Failure> {
     let extra = [(entry.header_names().phase, phase.to_owned())];
-    let mut response = send(entry, routed, engine, &extra).await?;
+    let mut response = send(entry, routed, engine, permit, &extra).await?;
     let read = response.read_body(MAX_PREFILL_RESPONSE_BYTES);
     let body = tokio::time::timeout_at(routed.limit, read)
         .await
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -5,6 +5,7 @@
 
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::limit;
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry::Registry;
@@ -53,6 +54,8 @@
     pub freshness: watch::Receiver<Freshness>,
     /// The requests that crashed upstreams.
     pub strikes: watch::Receiver<Arc<Ledger>>,
+    /// The limits that upstreams have named.
+    pub limits: watch::Receiver<Arc<limit::Table>>,
     /// Requests and tokens that this host has in flight at each upstream.
     pub loads: Loads,
     /// The latest era of the store that a call of this host has seen.
@@ -86,6 +89,11 @@
         Arc::clone(&self.strikes.borrow())
     }
 
+    /// The limits that upstreams have named, as known now.
+    pub fn known_limits(&self) -> Arc<limit::Table> {
+        Arc::clone(&self.limits.borrow())
+    }
+
     /// Whether rendezvous hashing makes this host one of the `count` owners of a role in its
     /// domain.
     pub fn is_owner(&self, role: &str, count: usize) -> bool {
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -109,10 +109,21 @@
 
 /// Posts a JSON body and maps the status of the response to an [`Error`].
 async fn post(address: &str, path: &str, body: &impl Serialize) -> Result<Response> {
+    post_with(address, path, body, |_headers| {}).await
+}
+
+/// Posts as [`post`] does, and calls `on_head` with the response's headers, whatever its status is.
+async fn post_with(
+    address: &str,
+    path: &str,
+    body: &impl Serialize,
+    on_head: impl Fn(&HeaderMap),
+) -> Result<Response> {
     let body = serde_json::to_vec(body).map_err(|_error| Error::Malformed)?;
     let mut headers = HeaderMap::new();
     headers::set(&mut headers, "content-type", "application/json");
     let response = send(address, "POST", path, headers, body.into()).await?;
+    on_head(&response.head.headers);
     match response.head.status {
         status if status.is_success() => Ok(response),
         StatusCode::NOT_FOUND | StatusCode::GONE => Err(Error::Gone),
@@ -129,9 +140,16 @@
 }
 
 /// Runs a prompt; while there is no response, probes the engine over new connections.
-pub async fn prefill(address: &str, call: &Prefill) -> Result<Prefilled> {
+///
+/// `on_head` is called with the headers of the response to the call itself.
+pub async fn prefill(
+    address: &str,
+    call: &Prefill,
+    on_head: impl Fn(&HeaderMap),
+) -> Result<Prefilled> {
     let response = tokio::time::timeout(PREFILL_TIMEOUT, async {
-        let prefilled: Prefilled = read_json(post(address, "/prefill", call).await?).await?;
+        let response = post_with(address, "/prefill", call, on_head).await?;
+        let prefilled: Prefilled = read_json(response).await?;
         if prefilled.request == call.request { Ok(prefilled) } else { Err(Error::Crossed) }
     });
     tokio::pin!(response);
@@ -169,14 +187,14 @@
     buffer: Vec<u8>,
 }
 
-/// Starts generation and opens its token stream.
-pub async fn decode(address: &str, call: &Decode) -> Result<Tokens> {
-    open_stream(address, "/decode", call, &call.request).await
+/// Starts generation and opens its token stream; `on_head` is called with the response's headers.
+pub async fn decode(address: &str, call: &Decode, on_head: impl Fn(&HeaderMap)) -> Result<Tokens> {
+    open_stream(address, "/decode", call, &call.request, on_head).await
 }
 
 /// Reopens the token stream of a running request over a new connection.
 pub async fn resume(address: &str, call: &Resume) -> Result<Tokens> {
-    open_stream(address, "/resume", call, &call.request).await
+    open_stream(address, "/resume", call, &call.request, |_headers| {}).await
 }
 
 /// Posts a call whose response is a token stream, and waits for its head.
@@ -185,8 +203,10 @@
     path: &str,
     call: &impl Serialize,
     request: &str,
+    on_head: impl Fn(&HeaderMap),
 ) -> Result<Tokens> {
-    let opened = tokio::time::timeout(SILENCE_TIMEOUT * 2, post(address, path, call)).await;
+    let posted = post_with(address, path, call, on_head);
+    let opened = tokio::time::timeout(SILENCE_TIMEOUT * 2, posted).await;
     let response = opened.unwrap_or(Err(Error::Silent))?;
     Ok(Tokens { request: request.to_owned(), response, buffer: Vec::new() })
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod freshness;
 pub mod id;
 pub mod length;
+pub mod limit;
 pub mod macros;
 pub mod membership;
 pub mod outlier;
--- /dev/null
+++ b/crates/policy/src/limit/table.rs
@@ -0,0 +1,179 @@
+//! The limits that a host knows, and which of two different words about an upstream is the later.
+
+use std::collections::HashMap;
+
+use crate::prelude::*;
+
+/// The highest limit that is believed, in requests a second.
+const MAX_PER_S: f64 = 1e6;
+
+plain! { value
+    /// What an upstream last said about the requests a second that it takes.
+    pub struct Word {
+        /// The upstream.
+        pub upstream: Tag,
+        /// The upstream's start, in milliseconds since the Unix epoch; 0 if it is unknown.
+        pub started_ms: u64,
+        /// The number of the word among those about this start; hosts count on from the last one
+        /// that they know.
+        pub serial: u32,
+        /// The limit in requests a second; `None` once it is lifted.
+        pub per_s: Option<f64>,
+    }
+}
+
+impl Word {
+    /// Whether this word replaces another one about the same upstream.
+    ///
+    /// Of two words with the same number the lower limit holds on all hosts: a limit that is lifted
+    /// late costs little.
+    fn replaces(&self, other: &Self) -> bool {
+        let order = |word: &Self| (word.started_ms, word.serial);
+        let rate = |word: &Self| word.per_s.unwrap_or(f64::INFINITY);
+        order(self) > order(other) || order(self) == order(other) && rate(self) < rate(other)
+    }
+}
+
+/// What a response says about the limit of its upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Named {
+    /// Nothing; the upstream has no limit when it responds.
+    Nothing,
+    /// This limit, in requests a second.
+    Limit(f64),
+    /// Something that is no limit.
+    Malformed(String),
+}
+
+impl Named {
+    /// Decodes the values of a response's header; of several limits the lowest counts.
+    pub fn parse<'a>(values: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut named = Self::Nothing;
+        for part in values.into_iter().flat_map(|value| value.split(',')) {
+            let limit: Option<f64> = part.trim().parse().ok();
+            let limit = limit.filter(|limit| *limit > 0.0 && *limit <= MAX_PER_S);
+            named = match (named, limit) {
+                (Self::Limit(other), Some(limit)) => Self::Limit(limit.min(other)),
+                (_, Some(limit)) => Self::Limit(limit),
+                (Self::Nothing, None) => Self::Malformed(part.trim().to_owned()),
+                (other, None) => other,
+            };
+        }
+        named
+    }
+}
+
+/// What one response said.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    /// The upstream that responded.
+    pub upstream: Tag,
+    /// The start of the upstream for which the request was meant.
+    pub started_ms: u64,
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// What the response said.
+    pub named: Named,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    word: Word,
+    /// When this host learned the word or last saw a response that confirmed it.
+    confirmed_at: Instant,
+}
+
+/// The limits that one host knows.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    known: HashMap<Tag, Known>,
+}
+
+impl Table {
+    /// The word in force about a start of an upstream, if it names a limit.
+    pub fn limit(&self, upstream: Tag, started_ms: u64) -> Option<Word> {
+        let word = self.known.get(&upstream)?.word;
+        (word.per_s.is_some() && word.started_ms >= started_ms).then_some(word)
+    }
+
+    /// All words, including those by which a limit was lifted.
+    pub fn words(&self) -> impl Iterator<Item = Word> {
+        self.known.values().map(|known| known.word)
+    }
+
+    /// Whether nothing is known of any upstream.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Whether a response of the upstream that names no limit may change anything.
+    pub fn is_limited(&self, upstream: Tag) -> bool {
+        self.known.get(&upstream).is_some_and(|known| known.word.per_s.is_some())
+    }
+
+    /// Takes a response into account; returns the word if it is a new one.
+    ///
+    /// A response lifts a limit only if its request was sent after the limit was last confirmed
+    /// here, because one sent before may have been answered before the upstream named it. For the
+    /// same reason such a response does not raise a limit.
+    pub fn observe(&mut self, seen: &Seen, now: Instant) -> Option<Word> {
+        let per_s = match seen.named {
+            Named::Nothing => None,
+            Named::Limit(limit) => Some(limit),
+            Named::Malformed(_) => return None,
+        };
+        let Some(known) = self.known.get_mut(&seen.upstream) else {
+            per_s?;
+            let Seen { upstream, started_ms, .. } = *seen;
+            let word = Word { upstream, started_ms, serial: 1, per_s };
+            self.known.insert(upstream, Known { word, confirmed_at: now });
+            return Some(word);
+        };
+        if seen.started_ms < known.word.started_ms {
+            return None;
+        }
+        if seen.started_ms > known.word.started_ms {
+            per_s?;
+            let word = Word { started_ms: seen.started_ms, serial: 1, per_s, ..known.word };
+            *known = Known { word, confirmed_at: now };
+            return Some(word);
+        }
+        if per_s == known.word.per_s {
+            known.confirmed_at = now;
+            return None;
+        }
+        let rate = |per_s: Option<f64>| per_s.unwrap_or(f64::INFINITY);
+        let is_later = seen.sent_at > known.confirmed_at;
+        if !is_later && rate(per_s) > rate(known.word.per_s) {
+            return None;
+        }
+        let word = Word { serial: known.word.serial + 1, per_s, ..known.word };
+        *known = Known { word, confirmed_at: now };
+        Some(word)
+    }
+
+    /// Takes a word of another host into account; returns whether it is new here.
+    pub fn merge(&mut self, word: &Word, now: Instant) -> bool {
+        let known = Known { word: *word, confirmed_at: now };
+        match self.known.get_mut(&word.upstream) {
+            Some(own) if !word.replaces(&own.word) => false,
+            Some(own) => {
+                *own = known;
+                true
+            }
+            None => {
+                self.known.insert(word.upstream, known);
+                true
+            }
+        }
+    }
+
+    /// Forgets upstreams for which `is_running` is false; returns whether there were any.
+    ///
+    /// It is called with the upstream and the start that a word is about.
+    pub fn retain(&mut self, mut is_running: impl FnMut(Tag, u64) -> bool) -> bool {
+        let before = self.known.len();
+        self.known.retain(|upstream, known| is_running(*upstream, known.word.started_ms));
+        self.known.len() < before
+    }
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -279,6 +279,20 @@
         own.into_iter().chain(others.map(|member| member.record.host)).collect()
     }
 
+    /// The hosts of all domains that may be given roles.
+    pub fn all_eligible(&self, now: Instant) -> Vec<Tag> {
+        let own = (!self.own.is_leaving).then_some(self.own.host);
+        let others = self.members.values().filter(|member| member.is_eligible(now));
+        own.into_iter().chain(others.map(|member| member.record.host)).collect()
+    }
+
+    /// The domains of which at least one host is alive, this host's own included.
+    pub fn live_domains(&self, now: Instant) -> HashSet<Tag> {
+        let others = self.members.values().filter(|member| member.is_alive(now));
+        let own = std::iter::once(self.own.domain);
+        own.chain(others.map(|member| member.record.domain)).collect()
+    }
+
     /// The live host of `domain` that announces `slot`; of several, the one with the highest epoch.
     pub fn slot_holder(&self, domain: Tag, slot: u32, now: Instant) -> Option<Tag> {
         let others = self.members.values().filter(|m| m.is_alive(now)).map(|m| &m.record);
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -139,7 +139,7 @@
     let (id, team, prompt) = (request, "direct".to_owned(), prompt.to_owned());
     let call =
         Prefill { request: id.clone(), team: team.clone(), prompt: prompt.clone(), priority: 0 };
-    let Ok(prefilled) = engine::prefill(&prefill, &call).await else {
+    let Ok(prefilled) = engine::prefill(&prefill, &call, |_headers| {}).await else {
         return;
     };
     let call = Decode {
@@ -152,7 +152,7 @@
         from: 0,
         priority: 0,
     };
-    let Ok(mut tokens) = engine::decode(&decode, &call).await else {
+    let Ok(mut tokens) = engine::decode(&decode, &call, |_headers| {}).await else {
         return;
     };
     let mut is_first = true;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -3,6 +3,7 @@
 //! Postcard encodes variants and fields by position, so their order is part of the protocol.
 
 use damaskhatch_policy::config::Head;
+use damaskhatch_policy::limit::{Ask, Verdict as Permission, Word};
 use damaskhatch_policy::membership::{Count, Record};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::quota::{Charge, Loan, Purpose, Verdict};
@@ -209,5 +210,23 @@
         /// Replies to a query whose sender should ask another host, since this one is sending to
         /// as many as it may; TCP only.
         Busy,
+        /// Tells what upstreams have said about the requests a second that they take.
+        Limits(Vec<Word>),
+        /// Asks for the limits that the receiver knows.
+        GetLimits,
+        /// Asks for one request to a limited upstream.
+        Ask {
+            /// The number of the ask, which the reply returns.
+            serial: u64,
+            /// What is asked for.
+            ask: Ask,
+        },
+        /// Replies to [`Body::Ask`], with a second reply if the first one is that it is queued.
+        Permit {
+            /// The number of the ask.
+            serial: u64,
+            /// The answer.
+            permission: Permission,
+        },
     }
 }
