--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -10,10 +10,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::middleware::from_fn;
 use actix_web::{App, HttpServer, web};
 use damaskhatch_policy::sheet::Role;
 use tokio::time::sleep;
 
+use crate::limit::{self, Limit};
+
 pub use http::Stats;
 pub use state::Engine;
 
@@ -76,9 +79,14 @@
         }
     });
     let data = web::Data::from(engine);
-    HttpServer::new(move || App::new().app_data(data.clone()).configure(http::configure))
-        .workers(1)
-        .bind(listen)?
-        .run()
-        .await
+    let limit = web::Data::new(Limit::default());
+    let app = move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(limit.clone())
+            .wrap(from_fn(limit::name))
+            .configure(limit::configure)
+            .configure(http::configure)
+    };
+    HttpServer::new(app).workers(1).bind(listen)?.run().await
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod engine;
 pub mod fleet;
+pub mod limit;
 pub mod load;
 pub mod platform;
 pub mod proxy;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use actix_web::http::ConnectionType;
+use actix_web::middleware::from_fn;
 use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer, web};
 use futures_util::stream::{StreamExt, once};
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::engine::CRASH_CODE;
+use crate::limit::{self, Limit};
 
 /// The header that carries the caller's id of a call.
 pub const CALL_HEADER: &str = "x-call-id";
@@ -57,9 +59,13 @@
 /// Serves the service's HTTP interface at an address until the process ends.
 pub async fn run(listen: SocketAddr) -> io::Result<()> {
     let data = web::Data::new(Service::default());
+    let limit = web::Data::new(Limit::default());
     HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
+            .app_data(limit.clone())
+            .wrap(from_fn(limit::name))
+            .configure(limit::configure)
             .route("/load", web::get().to(report_load))
             .route("/requests", web::get().to(list_requests))
             .route("/test/record", web::get().to(read_record))
