--- a/crates/policy/examples/limits.rs
+++ b/crates/policy/examples/limits.rs
@@ -10,13 +10,13 @@
 use rand_pcg::Pcg64Mcg;
 
 const TICK: Duration = Duration::from_millis(5);
-const TIME: Duration = Duration::from_secs(300);
+const TIME: Duration = Duration::from_mins(5);
 const WINDOW: Duration = Duration::from_secs(4);
 const PATIENCE: Duration = Duration::from_millis(135);
 /// The age of the demand that hosts know of each other.
 const HEARTBEAT: Duration = Duration::from_millis(400);
-/// One way between two hosts.
-const LATENCY: Duration = Duration::from_millis(1);
+/// What is left of [`PATIENCE`] after a round trip between two hosts.
+const REMOTE_PATIENCE: Duration = Duration::from_millis(133);
 
 /// How the limit is shared.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -48,9 +48,8 @@
             (0..hosts).map(|host| known.iter().map(|counts| counts[host]).sum()).collect();
         let total: f64 = demand.iter().sum();
         let part = |host: usize| match way {
-            Way::Equal => 1.0 / hosts as f64,
             Way::Demand if total > 0.0 => demand[host] / total,
-            Way::Demand => 1.0 / hosts as f64,
+            Way::Equal | Way::Demand => 1.0 / hosts as f64,
             Way::Holder => 1.0,
         };
         for (host, pacer) in pacers.iter_mut().enumerate() {
@@ -65,7 +64,7 @@
             let at = if way == Way::Holder { 0 } else { host };
             let id = Id { host: Tag(host as u64), incarnation: 1, serial };
             let word = Word { upstream: Tag(1), started_ms: 1, serial: 1, per_s: Some(per_s) };
-            let patience = if at == host { PATIENCE } else { PATIENCE - LATENCY * 2 };
+            let patience = if at == host { PATIENCE } else { REMOTE_PATIENCE };
             let ask = Ask { word, team: Tag(1), priority: 0, patience };
             if part(at) > 0.0 && pacers[at].ask(id, &ask, part(at), now) == Verdict::Granted {
                 grants.push(now);
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -97,7 +97,7 @@
         let mut granted = 0;
         let mut now = start;
         let mut serial = 0;
-        while now < start + Duration::from_secs(60) {
+        while now < start + Duration::from_mins(1) {
             now += TICK;
             let answers = pacer.tick(|_| 1.0, now);
             let is_granted = |(.., verdict): &&(Id, Tag, Verdict)| *verdict == Verdict::Granted;
--- a/crates/standins/tests/limits.rs
+++ b/crates/standins/tests/limits.rs
@@ -40,14 +40,14 @@
     C: Future<Output = usize>,
 {
     let responses = Rc::new(RefCell::new(Vec::new()));
-    let (began, mut sent) = (Instant::now(), Vec::new());
+    let (began, mut tasks) = (Instant::now(), Vec::new());
     let mut counts = Vec::new();
     let total = (rate * time.as_secs_f64()) as usize;
     for number in 0..total {
         let at = Duration::from_secs_f64(number as f64 / rate);
         sleep(at.saturating_sub(began.elapsed())).await;
         let (response, responses) = (send(number), Rc::clone(&responses));
-        sent.push(actix_web::rt::spawn(async move {
+        tasks.push(actix_web::rt::spawn(async move {
             let response = response.await;
             responses.borrow_mut().push(response);
         }));
@@ -55,7 +55,7 @@
             counts.push(count().await);
         }
     }
-    for task in sent {
+    for task in tasks {
         task.await.expect("no panic");
     }
     (responses.take(), counts)
