Go on with a stream only at the software version that began it

Callers got streams whose first part one software version had written and the rest another, within one response or over their tries, with nothing in the answer to show it. Cause: resumptions and take-ups were placed like new requests; no host knew an engine's version, nor which one had begun a stream.

A response is bound to the version of its first engine. It works because a version is recorded before the prefill, so before any event exists.

--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -4,7 +4,7 @@
 
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::prelude::Instant;
-use damaskhatch_policy::registry::{Change, Registry};
+use damaskhatch_policy::registry::{Change, NO_VERSION, Registry};
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_wire::prelude::Body;
 
@@ -67,11 +67,19 @@
         Body::GetListing { since } => {
             let upstreams = Arc::clone(&archive.upstreams);
             drop(archive);
-            let version = upstreams.version();
-            let partial = upstreams.changes_since(since).filter(|_| since > 0);
-            let is_partial = partial.is_some();
-            let changes = partial.unwrap_or_else(|| all_entries(&upstreams));
-            (version > 0).then_some(Body::Listing { version, is_partial, changes })
+            let (version, is_partial, changes) = changes_since(&upstreams, since)?;
+            Some(Body::Listing { version, is_partial, changes })
+        }
+        Body::GetUpstreams { since } => {
+            let upstreams = Arc::clone(&archive.upstreams);
+            drop(archive);
+            let (version, is_partial, changes) = changes_since(&upstreams, since)?;
+            let software = changes.iter().map(|(_, change)| match change {
+                Change::Listed(entry) => entry.software,
+                Change::Removed => NO_VERSION,
+            });
+            let software = software.collect();
+            Some(Body::Upstreams { version, is_partial, changes, software })
         }
         Body::GetStrikes => {
             drop(archive);
@@ -81,6 +89,18 @@
     }
 }
 
+/// Keys with their changes, in the order in which to apply them.
+type Changes = Vec<(String, Change)>;
+
+/// The version of the list, whether the changes are partial, and the changes; `None` without a list.
+fn changes_since(upstreams: &Registry, since: u64) -> Option<(u64, bool, Changes)> {
+    let version = upstreams.version();
+    let partial = upstreams.changes_since(since).filter(|_| since > 0);
+    let is_partial = partial.is_some();
+    let changes = partial.unwrap_or_else(|| all_entries(upstreams));
+    (version > 0).then_some((version, is_partial, changes))
+}
+
 fn all_entries(upstreams: &Registry) -> Vec<(String, Change)> {
     let entries = upstreams.entries();
     entries.map(|(key, entry)| (key.clone(), Change::Listed(entry.clone()))).collect()
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 
 use damaskhatch_policy::freshness::{BootTime, Freshness};
+use damaskhatch_policy::registry::Change;
 use damaskhatch_policy::rendezvous;
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
@@ -157,11 +158,28 @@
         let own = self.shared.settings.host.peer.ip();
         let (codec, metrics) = (SharedCodec::clone(&self.codec), self.shared.metrics.clone());
         let since = self.shared.upstreams().version();
-        let request = Body::GetListing { since };
-        let reply = async move { query(own, from, &codec, &metrics, request).await };
+        let reply = async move {
+            let request = Body::GetUpstreams { since };
+            match query(own, from, &codec, &metrics, request).await {
+                // A host of an earlier version does not know the query, and closes the connection.
+                Err(_unknown) => {
+                    query(own, from, &codec, &metrics, Body::GetListing { since }).await
+                }
+                reply => reply,
+            }
+        };
         ctx.spawn(reply.into_actor(self).map(move |reply, actor, _ctx| {
             actor.is_pulling = false;
             match reply {
+                Ok(Body::Upstreams { version, is_partial, mut changes, software }) => {
+                    for ((_, change), software) in changes.iter_mut().zip(software) {
+                        if let Change::Listed(entry) = change {
+                            entry.software = software;
+                        }
+                    }
+                    let since = is_partial.then_some(since);
+                    actor.listing.do_send(Offer { version, since, changes });
+                }
                 Ok(Body::Listing { version, is_partial, changes }) => {
                     let since = is_partial.then_some(since);
                     actor.listing.do_send(Offer { version, since, changes });
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod dependency;
 pub mod follow;
 pub mod limits;
+pub mod lineage;
 pub mod listing;
 pub mod membership;
 pub mod quota;
@@ -74,6 +75,9 @@
     pub strikes: Addr<strikes::Strikes>,
     /// Learns the limits that upstreams name, and grants requests to limited ones.
     pub limits: Addr<limits::Limits>,
+    /// Remembers which software version began each stream; `None` if the deployment has no catalogue
+    /// of upstreams.
+    pub lineage: Option<Addr<lineage::Lineage>>,
     /// Obtains the configuration, its freshness and the upstreams from hosts that read the store;
     /// `None` if the deployment has no catalogue of upstreams.
     pub follow: Option<Addr<follow::Follow>>,
@@ -161,6 +165,10 @@
             let shared = shared.clone();
             Supervisor::start_in_arbiter(&thread, |_| limits::Limits::new(shared, limits))
         };
+        let lineage = shared.deployment.catalogue.map(|_catalogue| {
+            let shared = shared.clone();
+            Supervisor::start_in_arbiter(&thread, |_| lineage::Lineage::new(shared))
+        });
         let follow = shared.deployment.catalogue.map(|catalogue| {
             let listing = {
                 let (shared, archive) = (shared.clone(), Arc::clone(archive));
@@ -187,6 +195,7 @@
             claims,
             strikes,
             limits,
+            lineage,
             follow,
         }
     }
@@ -221,6 +230,11 @@
             Body::Vouch { .. } | Body::GetVouch { .. } | Body::RosterChanged { .. } => {
                 self.roster.do_send(Incoming(arrival));
             }
+            Body::Begun(_) | Body::FindStream { .. } | Body::StreamFound { .. } => {
+                if let Some(lineage) = &self.lineage {
+                    lineage.do_send(Incoming(arrival));
+                }
+            }
             Body::GetFreshness { .. } | Body::Freshness { .. } => {
                 if let Some(follow) = &self.follow {
                     follow.do_send(Incoming(arrival));
@@ -228,6 +242,8 @@
             }
             Body::GetListing { .. }
             | Body::Listing { .. }
+            | Body::GetUpstreams { .. }
+            | Body::Upstreams { .. }
             | Body::GetHead
             | Body::GetStrikes
             | Body::Head { .. }
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -307,7 +307,10 @@
         | Body::Busy
         | Body::Chunks(_)
         | Body::GetListing { .. }
-        | Body::Listing { .. } => "config",
+        | Body::Listing { .. }
+        | Body::GetUpstreams { .. }
+        | Body::Upstreams { .. } => "config",
+        Body::Begun(_) | Body::FindStream { .. } | Body::StreamFound { .. } => "lineage",
         Body::GetFreshness { .. } | Body::Freshness { .. } => "news",
         Body::Limits(_) | Body::GetLimits | Body::Ask { .. } | Body::Permit { .. } => "limit",
         Body::Vouch { .. }
--- a/crates/damaskhatch/src/relay/dialect.rs
+++ b/crates/damaskhatch/src/relay/dialect.rs
@@ -57,6 +57,8 @@
     pub prompt_parts: &'static str,
     /// The id of the last event that the caller received, after which to resume.
     pub last_event: &'static str,
+    /// The id of the request that brought the first event of the stream that is resumed.
+    pub resumes: &'static str,
     /// Towards upstreams: the name of the caller's team.
     pub team: &'static str,
     /// Towards upstreams: the instance that the request is meant for.
@@ -115,6 +117,7 @@
             length_hint: "x-damaskhatch-length-hint",
             prompt_parts: "x-damaskhatch-prompt-parts",
             last_event: "last-event-id",
+            resumes: "x-damaskhatch-resumes",
             team: "x-damaskhatch-team",
             instance: "x-damaskhatch-instance",
             urgency: "x-damaskhatch-urgency",
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -22,6 +22,7 @@
 use super::held::{Export, Reservation};
 use super::permit::{self, Permit, Terms};
 use super::request::{Routed, Tokens};
+use crate::control::lineage::Begin;
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
 use crate::headers;
@@ -46,6 +47,8 @@
     pub last_event: Option<u64>,
     /// Tokens of the response that the caller has already received.
     pub tokens_done: u32,
+    /// The software version of all engines of the response, set once the first one is chosen.
+    pub version: Option<Tag>,
     /// Whether a prefill was requested before; further prefill calls count as retries.
     was_prefill_requested: bool,
 }
@@ -97,6 +100,9 @@
             let failed = Refusal::from(Kind::UpstreamFailed).with_may_have_run(true);
             if progress.history.may_have_run { failed } else { refusal }
         })?;
+        if progress.version.is_none() {
+            pin_version(entry, routed, progress, &reservation.upstream);
+        }
         let export = prefill(entry, routed, progress).await?;
         check_admission(entry, routed, progress.history)?;
         let mut extra = vec![
@@ -137,6 +143,17 @@
     }
 }
 
+/// Binds a response to the software version of its first engine, and records that for take-ups.
+///
+/// Recorded before the prefill, the version is saved by the time of the first event, and no further
+/// engine of the response has another one.
+fn pin_version(entry: &Entry, routed: &Routed, progress: &mut Progress, engine: &registry::Entry) {
+    progress.version = Some(engine.software);
+    if let Some(lineage) = &entry.control.lineage {
+        lineage.do_send(Begin { stream: Tag::of(&routed.label), version: engine.software });
+    }
+}
+
 /// Reserves at the least loaded decode engine that has room, or refuses the request.
 async fn reserve(
     entry: &Entry,
@@ -156,7 +173,12 @@
     let give_up_at = (since + patience).min(routed.limit);
     loop {
         let loads = entry.known_loads();
-        let engines = decode_engines(entry, routed, &loads, &progress.excluded);
+        let engines = decode_engines(entry, routed, &loads, progress);
+        if engines.is_empty() && progress.version.is_some() {
+            // Engines of other versions cannot go on with what this one began.
+            entry.shared.journal.record(&routed.label, format_args!("event=no_engine_of_version"));
+            return Err(Refusal::after(Kind::Overloaded, retry_after()));
+        }
         let total = need.memory + need.headroom;
         let fanout = placement::reservation_fanout(
             &engines,
@@ -214,22 +236,30 @@
 }
 
 /// The usable decode engines, ranked by placement.
+///
+/// Of the version that a response is bound to, ejected ones count too if there is no other.
 fn decode_engines(
     entry: &Entry,
     routed: &Routed,
     loads: &Loads,
-    excluded: &HashSet<Tag>,
+    progress: &Progress,
 ) -> Vec<registry::Entry> {
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
     let now = Instant::now();
     let outliers = entry.outliers();
-    let usable = registry.usable(service).filter(|e| {
-        e.role == Some(Role::Decode)
-            && !excluded.contains(&e.tag)
-            && !outliers.is_ejected(e.tag, now)
-    });
-    let ranked = placement::rank_decode(usable, loads, entry.shared.domain, &mut rand::rng());
+    let usable: Vec<_> = registry
+        .usable(service)
+        .filter(|e| e.role == Some(Role::Decode) && !progress.excluded.contains(&e.tag))
+        .filter(|e| progress.version.is_none_or(|version| e.software == version))
+        .collect();
+    let mut healthy: Vec<_> =
+        usable.iter().copied().filter(|e| !outliers.is_ejected(e.tag, now)).collect();
+    if healthy.is_empty() && progress.version.is_some() {
+        healthy = usable;
+    }
+    let domain = entry.shared.domain;
+    let ranked = placement::rank_decode(healthy.into_iter(), loads, domain, &mut rand::rng());
     ranked.into_iter().cloned().collect()
 }
 
@@ -250,7 +280,9 @@
             let outliers = entry.outliers();
             let usable = registry
                 .usable(service)
-                .filter(|e| e.role == Some(Role::Prefill) && !outliers.is_ejected(e.tag, now));
+                .filter(|e| e.role == Some(Role::Prefill) && !outliers.is_ejected(e.tag, now))
+                // What one version exports does not fit another, which then reads the prompt itself.
+                .filter(|e| progress.version.is_none_or(|version| e.software == version));
             let (loads, domain) = (entry.known_loads(), entry.shared.domain);
             let ranked = placement::rank_prefill(usable, &loads, domain, &mut rand::rng());
             ranked.into_iter().cloned().collect::<Vec<_>>()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod id;
 pub mod length;
 pub mod limit;
+pub mod lineage;
 pub mod macros;
 pub mod membership;
 pub mod outlier;
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -10,6 +10,13 @@
 use crate::prelude::*;
 use crate::sheet::Role;
 
+/// Stands for the software version of an upstream that gives none.
+pub const NO_VERSION: Tag = Tag(0);
+
+const fn no_version() -> Tag {
+    NO_VERSION
+}
+
 plain! { data
     /// An upstream as it registered itself.
     pub struct Entry {
@@ -31,6 +38,11 @@
         pub role: Option<Role>,
         /// The start time in milliseconds since the Unix epoch; 0 if the upstream gives none.
         pub started_ms: u64,
+        /// The tag of the version of its software; [`NO_VERSION`] if it gives none.
+        ///
+        /// Hosts send it to each other apart from the entry, because earlier ones do not expect it.
+        #[serde(skip, default = "no_version")]
+        pub software: Tag,
     }
 }
 
--- a/crates/policy/tests/registry.rs
+++ b/crates/policy/tests/registry.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry::{Change, Entry, Registry};
+use damaskhatch_policy::registry::{Change, Entry, NO_VERSION, Registry};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -19,6 +19,7 @@
         is_leaving: false,
         role: None,
         started_ms: 0,
+        software: NO_VERSION,
     }
 }
 
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -8,7 +8,7 @@
 use damaskhatch_policy::outlier::Outliers;
 use damaskhatch_policy::placement::{self, Load};
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry::Entry;
+use damaskhatch_policy::registry::{Entry, NO_VERSION};
 use damaskhatch_policy::retry::{self, Budget};
 use damaskhatch_policy::routing::{Repeat, Route, Table, Target};
 use damaskhatch_policy::sheet::Role;
@@ -231,6 +231,7 @@
         is_leaving: false,
         role: Some(role),
         started_ms: 0,
+        software: NO_VERSION,
     }
 }
 
--- a/crates/policy/tests/strikes.rs
+++ b/crates/policy/tests/strikes.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry::{Entry, Registry};
+use damaskhatch_policy::registry::{Entry, NO_VERSION, Registry};
 use damaskhatch_policy::strike::{
     BASE_QUARANTINE, Crash, LIMIT, Ledger, MAX_FINGERPRINTS, MAX_QUARANTINE, RETENTION, Report,
     Strike, fingerprint,
@@ -204,6 +204,7 @@
         is_leaving,
         role: None,
         started_ms,
+        software: NO_VERSION,
     };
     (instance.to_owned(), entry)
 }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -228,5 +228,37 @@
             /// The answer.
             permission: Permission,
         },
+        /// Asks for changes to the list of registered upstreams, with software versions; TCP only.
+        GetUpstreams {
+            /// The version of the sender's list; 0 if it has none.
+            since: u64,
+        },
+        /// Replies to [`Body::GetUpstreams`] as [`Body::Listing`] does; TCP only.
+        Upstreams {
+            /// The version of the list after these changes.
+            version: u64,
+            /// Whether `changes` starts at the requested version, or else is the complete list.
+            is_partial: bool,
+            /// Each key with its change, in the order in which to apply them.
+            changes: Vec<(String, Change)>,
+            /// The software version of each change's entry.
+            software: Vec<Tag>,
+        },
+        /// Tells which software versions began streams: each version with its streams.
+        Begun(Vec<(Tag, Vec<Tag>)>),
+        /// Asks which software version began a stream.
+        FindStream {
+            /// The number of the query, which the reply returns.
+            serial: u64,
+            /// The stream.
+            stream: Tag,
+        },
+        /// Replies to [`Body::FindStream`].
+        StreamFound {
+            /// The number of the query.
+            serial: u64,
+            /// The version; `None` if the sender does not know the stream.
+            version: Option<Tag>,
+        },
     }
 }
