Balance the roles of each software version's engines apart

While two versions serve, a stream's prefill and decode use engines of one version. Versions with three engines or more are now pools of their own, and a pool that appears later waits 8 s before its first change.

--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -36,12 +36,15 @@
     usable_from: BootTime,
 }
 
+/// The service and the software version of a pool of engines.
+type Pool = (Tag, Tag);
+
 /// The actor that issues orders.
 #[derive(Debug)]
 pub struct Stages {
     shared: Shared,
-    /// The debounce of each service.
-    debounces: HashMap<Tag, Debounce>,
+    /// The debounce of each pool of engines.
+    debounces: HashMap<Pool, Debounce>,
     /// `None` until the key is written, and after the claim is lost or a call fails.
     claim: Option<Claim>,
     is_order_pending: bool,
@@ -82,30 +85,39 @@
         let registry = self.shared.upstreams();
         let models = snapshot.services.iter().filter(|(_, service)| service.engines.is_some());
         for (_, service) in models {
-            let change = stages::next_change(registry.usable(service.tag), prefill_share);
-            let debounce = self.debounces.entry(service.tag).or_default();
-            if !debounce.is_due(change.is_some(), now) {
-                continue;
-            }
-            if let Some(change) = change {
-                self.issue_order(service.tag, change, ctx);
-                return;
+            let pools = stages::pools(registry.usable(service.tag));
+            self.debounces.retain(|(tag, version), _| {
+                *tag != service.tag || pools.is_empty() || pools.contains_key(version)
+            });
+            let has_pool = self.debounces.keys().any(|(tag, _)| *tag == service.tag);
+            let fresh = if has_pool { Debounce::growing() } else { Debounce::default() };
+            for (version, engines) in pools {
+                let change = stages::next_change(engines.into_iter(), prefill_share);
+                let pool = (service.tag, version);
+                let debounce = self.debounces.entry(pool).or_insert(fresh);
+                if !debounce.is_due(change.is_some(), now) {
+                    continue;
+                }
+                if let Some(change) = change {
+                    self.issue_order(pool, change, ctx);
+                    return;
+                }
             }
         }
     }
 
-    fn issue_order(&mut self, service: Tag, change: Change, ctx: &mut Context<Self>) {
+    fn issue_order(&mut self, pool: Pool, change: Change, ctx: &mut Context<Self>) {
         self.is_order_pending = true;
         let (shared, claim) = (self.shared.clone(), self.claim);
         let engine = change.engine.clone();
         let outcome = async move { issue_order(&shared, claim, &change).await };
         ctx.spawn(outcome.into_actor(self).map(move |outcome, actor, _ctx| {
             actor.is_order_pending = false;
-            actor.record_outcome(service, &engine, outcome);
+            actor.record_outcome(pool, &engine, outcome);
         }));
     }
 
-    fn record_outcome(&mut self, service: Tag, engine: &Entry, outcome: Result<Outcome, Error>) {
+    fn record_outcome(&mut self, pool: Pool, engine: &Entry, outcome: Result<Outcome, Error>) {
         let instance = &engine.instance;
         match outcome {
             Ok(Outcome::Claimed(claim)) => {
@@ -115,7 +127,7 @@
             }
             Ok(Outcome::Sent(result)) => {
                 log::info!("event=role_ordered upstream={instance} result={result:?}");
-                let debounce = self.debounces.entry(service).or_default();
+                let debounce = self.debounces.entry(pool).or_default();
                 debounce.record_change(Instant::now());
             }
             Ok(Outcome::Lost) => {
--- a/crates/policy/src/stages.rs
+++ b/crates/policy/src/stages.rs
@@ -14,9 +14,9 @@
 
 /// Time for which a proportion must have been wrong before a role is changed.
 const SETTLED_AFTER: Duration = Duration::from_secs(8);
-/// The same before the first change of a service, when it has no traffic yet.
+/// The same before the first change of a service's first pool, when it has no traffic yet.
 const FIRST_SETTLED_AFTER: Duration = Duration::from_millis(500);
-/// Shortest time between two changes of a service, longer than one change takes.
+/// Shortest time between two changes of a pool, longer than one change takes.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(12);
 
 /// A change of one engine's role.
@@ -28,7 +28,25 @@
     pub role: Role,
 }
 
-/// The change that brings a service closer to `prefill_share`, or `None` if none does.
+/// The fewest engines of a software version whose roles are balanced apart from other versions.
+///
+/// Of fewer than three, a prefill engine would be a half.
+const MIN_VERSION_ENGINES: usize = 3;
+
+/// Divides a service's engines into pools in which prefills and decodes go together.
+///
+/// While several software versions serve, each is a pool of its own, since engines of different ones
+/// do not work together. A version of a few engines is none: it comes or goes.
+pub fn pools<'a>(engines: impl Iterator<Item = &'a Entry>) -> HashMap<Tag, Vec<&'a Entry>> {
+    let mut pools: HashMap<Tag, Vec<&Entry>> = HashMap::new();
+    engines.for_each(|engine| pools.entry(engine.software).or_default().push(engine));
+    if pools.len() > 1 {
+        pools.retain(|_, engines| engines.len() >= MIN_VERSION_ENGINES);
+    }
+    pools
+}
+
+/// The change that brings a pool of engines closer to `prefill_share`, or `None` if none does.
 ///
 /// A role never loses its last engine.
 pub fn next_change<'a>(
@@ -63,16 +81,23 @@
     engines.iter().copied().max_by_key(|engine| (per_domain[&engine.domain], engine.tag))
 }
 
-/// Delays the role changes of one service until its proportion has been wrong for long enough.
+/// Delays the role changes of one pool until its proportion has been wrong for long enough.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Debounce {
     /// Since when a change has been wanted without interruption.
     wanted_since: Option<Instant>,
     /// When the last change was ordered; `None` before the first.
     changed_at: Option<Instant>,
+    /// Whether the first change waits as long as later ones do.
+    is_growing: bool,
 }
 
 impl Debounce {
+    /// The debounce of a pool that appears while others serve, and may still grow.
+    pub const fn growing() -> Self {
+        Self { wanted_since: None, changed_at: None, is_growing: true }
+    }
+
     /// Updates the debounce with whether a change is wanted, and returns whether it is due now.
     pub fn is_due(&mut self, is_wanted: bool, now: Instant) -> bool {
         if !is_wanted {
@@ -80,7 +105,8 @@
             return false;
         }
         let since = *self.wanted_since.get_or_insert(now);
-        let settled = if self.changed_at.is_none() { FIRST_SETTLED_AFTER } else { SETTLED_AFTER };
+        let is_first = self.changed_at.is_none() && !self.is_growing;
+        let settled = if is_first { FIRST_SETTLED_AFTER } else { SETTLED_AFTER };
         let is_interval_over =
             self.changed_at.is_none_or(|changed_at| now >= changed_at + CHANGE_INTERVAL);
         is_interval_over && now >= since + settled
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -356,3 +356,31 @@
     assert!(chosen.is_sorted_by(|one, next| one > next), "not in order of load: {chosen:?}");
     assert_eq!(chosen[4], 0, "the most loaded upstream is never the better of two");
 }
+
+/// Guards against a software version that has no prefill engine for as long as it serves beside
+/// another, because both were counted together.
+#[test]
+fn each_software_version_is_a_pool_of_its_own() {
+    // Two prefill engines and two decode engines of the first version, five of the second.
+    let mut engines: Vec<Entry> = engines(2, 7);
+    for (index, engine) in engines.iter_mut().enumerate() {
+        engine.software = Tag(if index < 4 { 1 } else { 2 });
+    }
+    let pools = stages::pools(engines.iter());
+    let change = |version| stages::next_change(pools[&Tag(version)].iter().copied(), 0.25);
+    assert_eq!(pools.len(), 2);
+    assert_eq!(change(1).map(|change| change.role), Some(Role::Decode));
+    assert_eq!(change(2).map(|change| change.role), Some(Role::Prefill));
+    engines.truncate(6);
+    assert_eq!(stages::pools(engines.iter()).len(), 1, "two engines are too few");
+}
+
+/// Guards against roles that are changed while the engines of a new version are still starting.
+#[test]
+fn the_first_change_of_a_later_pool_waits_as_long_as_others() {
+    let start = Instant::now();
+    let mut debounce = Debounce::growing();
+    assert!(!debounce.is_due(true, start));
+    assert!(!debounce.is_due(true, start + Duration::from_secs(7)));
+    assert!(debounce.is_due(true, start + Duration::from_secs(8)));
+}
