--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -72,6 +72,7 @@
         strikes: strikes_seen,
         limits: limits_seen,
         loads: Loads::default(),
+        resuming: Loads::default(),
         era: era::Tracker::default(),
         deployment,
         draining: Arc::new(AtomicBool::new(false)),
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -29,6 +29,8 @@
 
 /// The maximum number of decode engines that are tried for a reservation in one round.
 const MAX_RESERVATIONS_PER_ROUND: usize = 3;
+/// The load by which a stream that waits for an engine of its version is counted.
+const ONE_REQUEST: Load = Load { requests: 1, memory_tokens: 0, prefill_tokens: 0 };
 /// The mean pause between two rounds while no engine has room, varied at random by up to half.
 const ROUND_PAUSE: Duration = Duration::from_millis(60);
 /// The maximum number of prefill calls; if all fail, the decode engine runs the prefill itself.
@@ -167,7 +169,15 @@
         let tokens = (prompt, max_output);
         admission::need(&learned.lengths, tokens, hint, progress.tokens_done, capacity)
     });
-    let patience = admission::patience(routed.route.target_latency);
+    let target = routed.route.target_latency;
+    let has_begun = progress.last_event.is_some() || routed.is_resumed(entry);
+    let patience = if has_begun {
+        admission::resumption_patience(target)
+    } else {
+        admission::patience(target)
+    };
+    let version = progress.version.filter(|_| has_begun);
+    let _waiting = version.map(|version| entry.shared.resuming.track(version, ONE_REQUEST));
     // For a resumed stream the target applies to the pause, not to the time since the request.
     let since = progress.last_event.map_or(routed.arrived_at, |_| Instant::now());
     let give_up_at = (since + patience).min(routed.limit);
@@ -255,8 +265,14 @@
         .collect();
     let mut healthy: Vec<_> =
         usable.iter().copied().filter(|e| !outliers.is_ejected(e.tag, now)).collect();
-    if healthy.is_empty() && progress.version.is_some() {
-        healthy = usable;
+    if progress.version.is_some() {
+        healthy = if healthy.is_empty() { usable } else { healthy };
+    } else {
+        // New streams leave the engines of a version to the streams that can only go on there.
+        let resuming = entry.shared.resuming.snapshot();
+        let is_free = |e: &&registry::Entry| !resuming.contains_key(&e.software);
+        let free: Vec<_> = healthy.iter().copied().filter(is_free).collect();
+        healthy = if free.is_empty() { healthy } else { free };
     }
     let domain = entry.shared.domain;
     let ranked = placement::rank_decode(healthy.into_iter(), loads, domain, &mut rand::rng());
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -58,6 +58,8 @@
     pub limits: watch::Receiver<Arc<limit::Table>>,
     /// Requests and tokens that this host has in flight at each upstream.
     pub loads: Loads,
+    /// Streams of this host that wait to go on, by the tag of their software version.
+    pub resuming: Loads,
     /// The latest era of the store that a call of this host has seen.
     pub era: era::Tracker,
     /// The protocols and key layout of the environment that the host runs in.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,6 +15,8 @@
 const HEADROOM_DEVIATIONS: f64 = 1.0;
 /// The fraction of the first-token target that a request may wait for memory.
 const PATIENCE_FRACTION: f64 = 0.45;
+/// The time that a stream which has begun may wait for memory, in first-token targets.
+const RESUMPTION_PATIENCE_FACTOR: f64 = 2.0;
 /// The minimum `Retry-After` time of a request that found no engine with enough memory.
 pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The upper bound of the random time added to [`MIN_RETRY_AFTER`].
@@ -62,3 +64,11 @@
 pub fn patience(target: Duration) -> Duration {
     target.mul_f64(PATIENCE_FRACTION)
 }
+
+/// How long a stream that has begun may wait for memory at an engine that can go on with it.
+///
+/// Longer than a new one, which can go to other engines or come back: its caller has part of the
+/// response already, and gives up a silent stream only after four times the target.
+pub fn resumption_patience(target_latency: Duration) -> Duration {
+    target_latency.mul_f64(RESUMPTION_PATIENCE_FACTOR)
+}
