Reject the response of an engine that has changed its software version since it was chosen

An engine may start again under its name, with another version, while the prompt is read. The host now looks at the engine's entry once more when the response begins.

--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -119,6 +119,7 @@
         routed.keep_charge();
         let sent_at = Instant::now();
         let sent = send(entry, routed, &reservation.upstream, permit, &extra).await;
+        let sent = sent.and_then(|response| check_version(entry, routed, &reservation, response));
         let failure = match sent {
             Ok(response) => {
                 progress.history.record(Outcome::Ran);
@@ -145,6 +146,30 @@
     }
 }
 
+/// Rejects the response of an engine that has started again with another software version since it
+/// was chosen.
+fn check_version(
+    entry: &Entry,
+    routed: &Routed,
+    reservation: &Reservation,
+    response: Response,
+) -> Result<Response, Failure> {
+    let service = entry.shared.snapshot().services[routed.service].tag;
+    let chosen = &reservation.upstream;
+    let registry = entry.shared.upstreams();
+    match registry.upstream(service, chosen.tag) {
+        Some(now) if now.software != chosen.software => Err(Failure {
+            outcome: Outcome::Unknown,
+            reason: format!(
+                "the engine has changed from software version {} to {} since it was chosen",
+                chosen.software, now.software
+            ),
+            is_upstream_at_fault: false,
+        }),
+        _ => Ok(response),
+    }
+}
+
 /// Binds a response to the software version of its first engine, and records that for take-ups.
 ///
 /// Recorded before the prefill, the version is saved by the time of the first event, and no further
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -163,6 +163,12 @@
         keys.filter_map(|key| self.entries.get(key)).filter(|entry| !entry.is_leaving)
     }
 
+    /// The upstream of a service with this tag, also if it is leaving.
+    pub fn upstream(&self, service: Tag, tag: Tag) -> Option<&Entry> {
+        let keys = self.services.get(&service).into_iter().flatten();
+        keys.filter_map(|key| self.entries.get(key)).find(|entry| entry.tag == tag)
+    }
+
     /// All entries with their keys, including those that are leaving.
     pub fn entries(&self) -> impl Iterator<Item = (&String, &Entry)> {
         self.entries.iter()
