Continue responses of the own interface at engines of the same software version

After its engine had died, a completion went on at an engine of another version, and the text was joined from both (test of streams, answered 200 before). An engine names its version in a header of its streams; one that names another than the engine of the first token gets the next attempt only if it has generated nothing yet. The stand-ins add any header that a test sets, in place of the limit only.

--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -190,7 +190,7 @@
     let mut charged = charge(entry, work.request, &work.caller, tokens).await?;
     entry.earn_retry();
     let metrics = &entry.shared.metrics;
-    let mut next = 0;
+    let mut generated = generate::Progress::default();
     let mut may_have_run = false;
     let mut avoid = Vec::new();
     // The refusal if no further attempt is made.
@@ -200,7 +200,8 @@
     for attempt in 0..MAX_ATTEMPTS {
         let id = if attempt == 0 { work.request } else { entry.shared.next_request() };
         let suspect = entry.check_quarantine(work.request, &work.fingerprints, may_have_run)?;
-        let demand = build_demand(entry, work, id, Progress { attempt, next, suspect }, &avoid);
+        let progress = Progress { attempt, next: generated.next, suspect };
+        let demand = build_demand(entry, work, id, progress, &avoid);
         let acquired = acquire(entry, &work.caller, demand).await;
         let mut lease = acquired.map_err(|refusal| refusal.with_may_have_run(may_have_run))?;
         if work.caller.is_withdrawn(&entry.shared.snapshot()) {
@@ -226,10 +227,10 @@
             team: &work.caller.name,
             prompt: &work.completion.prompt,
             max_tokens: work.max_tokens,
-            priority: if next > 0 { PRIORITY_RESUMED } else { PRIORITY_NEW },
+            priority: if generated.next > 0 { PRIORITY_RESUMED } else { PRIORITY_NEW },
         };
         let sent_at = Instant::now();
-        let running = generate::run(&mut lease, &job, permits, &mut next, |token| {
+        let running = generate::run(&mut lease, &job, permits, &mut generated, |token| {
             observe_token(metrics, work.prepared_at, &mut last_token_at);
             spend_token(&mut charged, work);
             emit(token);
@@ -412,7 +413,7 @@
         Error::Connect | Error::Refused => Kind::NoUpstream.into(),
         Error::Declined => Kind::UpstreamRefused.into(),
         Error::Silent => Kind::UpstreamTimeout.into(),
-        Error::Broken | Error::Crossed | Error::Malformed | Error::Gone => {
+        Error::Broken | Error::Crossed | Error::Malformed | Error::Gone | Error::OtherVersion => {
             Kind::UpstreamFailed.into()
         }
     }
--- a/crates/damaskhatch/src/entry/generate.rs
+++ b/crates/damaskhatch/src/entry/generate.rs
@@ -34,6 +34,22 @@
     pub priority: i32,
 }
 
+/// How much of a response has been generated, over all attempts.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// The index of the next token to generate.
+    pub next: u32,
+    /// The software version of the engine that generated the first one, if it named any.
+    version: Option<String>,
+}
+
+impl Progress {
+    /// Whether an engine of this version may generate the next token.
+    fn fits(&self, version: Option<&str>) -> bool {
+        self.next == 0 || self.version.as_deref() == version
+    }
+}
+
 /// The end of a complete response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Done {
@@ -54,7 +70,7 @@
     pub is_crash: bool,
 }
 
-/// Runs an attempt from token `next` on, and advances `next`.
+/// Runs an attempt from the next token on, and advances `progress`.
 ///
 /// `permits` are those for the requests to the prefill engine and to the decode engine. `emit` is
 /// called once for each token, in order.
@@ -62,7 +78,7 @@
     lease: &mut Lease,
     job: &Job<'_>,
     permits: [Permit; 2],
-    next: &mut u32,
+    progress: &mut Progress,
     mut emit: impl FnMut(&str),
 ) -> Result<Done, Failure> {
     let [prefill_permit, decode_permit] = permits;
@@ -75,7 +91,7 @@
         kv,
         kv_address: lease.prefill_address.clone(),
         max_tokens: job.max_tokens,
-        from: *next,
+        from: progress.next,
         priority: job.priority,
     };
     lease.needs_decode_cancel = true;
@@ -85,15 +101,21 @@
     let opened = engine::decode(&lease.decode_address, &call, learn).await;
     let mut stream = match opened {
         Ok(stream) => stream,
-        Err(error) => resume_stream(lease, *next, error).await?,
+        Err(error) => resume_stream(lease, progress.next, error).await?,
     };
+    if !progress.fits(stream.version()) {
+        return Err(record_failure(lease, engine, Error::OtherVersion, false));
+    }
     let mut pace = Pace::new();
     let mut resumptions = 0;
     loop {
         let line = stream.next().await;
-        match line.map(|line| interpret(line, *next)) {
+        match line.map(|line| interpret(line, progress.next)) {
             Ok(Step::Token(text)) => {
-                if *next == call.from {
+                if progress.next == call.from {
+                    if progress.next == 0 {
+                        progress.version = stream.version().map(str::to_owned);
+                    }
                     lease.report_progress(Phase::Decode, Duration::ZERO);
                     lease.unused_prefill_tokens = 0;
                     // The first token proves that the KV cache was imported, and the import
@@ -101,7 +123,7 @@
                     lease.needs_prefill_cancel = false;
                 }
                 emit(&text);
-                *next += 1;
+                progress.next += 1;
                 resumptions = 0;
                 if let Some(gap) = pace.record_token() {
                     lease.report_progress(Phase::Decode, gap);
@@ -120,7 +142,10 @@
                 if resumptions > MAX_RESUMPTIONS {
                     return Err(record_failure(lease, lease.pair.decode, Error::Silent, false));
                 }
-                stream = resume_stream(lease, *next, Error::Broken).await?;
+                stream = resume_stream(lease, progress.next, Error::Broken).await?;
+                if !progress.fits(stream.version()) {
+                    return Err(record_failure(lease, engine, Error::OtherVersion, false));
+                }
                 pace = Pace::new();
             }
         }
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -31,6 +31,8 @@
 const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// How long a failing cancellation is retried before it is abandoned.
 const CANCEL_RETRY_PERIOD: Duration = Duration::from_mins(1);
+/// The header by which an engine names the version of its software.
+const VERSION: &str = "x-damaskhatch-version";
 /// The longest JSON response, in bytes.
 const MAX_JSON_BYTES: usize = 4 << 20;
 /// The longest line of a token stream, in bytes.
@@ -55,6 +57,8 @@
     Malformed,
     /// the engine does not know the request or its KV cache
     Gone,
+    /// the engine runs another software version than the one that began the response
+    OtherVersion,
 }
 
 impl std::error::Error for Error {}
@@ -65,9 +69,12 @@
         match self {
             Self::Connect | Self::Refused => Reach::Unsent,
             Self::Declined => Reach::Declined,
-            Self::Broken | Self::Silent | Self::Crossed | Self::Malformed | Self::Gone => {
-                Reach::MayHaveRun
-            }
+            Self::Broken
+            | Self::Silent
+            | Self::Crossed
+            | Self::Malformed
+            | Self::Gone
+            | Self::OtherVersion => Reach::MayHaveRun,
         }
     }
 }
@@ -212,6 +219,11 @@
 }
 
 impl Tokens {
+    /// The software version that the engine names; `None` if it names none.
+    pub fn version(&self) -> Option<&str> {
+        self.response.head.headers.get(VERSION)?.to_str().ok()
+    }
+
     /// Reads the next line.
     ///
     /// Fails with [`Error::Silent`] if no bytes arrive for [`SILENCE_TIMEOUT`].
--- a/crates/policy/tests/lineage.rs
+++ b/crates/policy/tests/lineage.rs
@@ -90,7 +90,7 @@
                 copies.push(store.clone());
                 if let Some(sole) = served.sole(SERVICE, now) {
                     for (version, at) in &begun {
-                        let may_be_taken_up = now.saturating_duration_since(*at) < STREAM_LIFE - STEP;
+                        let may_be_taken_up = now.saturating_duration_since(*at) + STEP < STREAM_LIFE;
                         prop_assert!(
                             Tag(*version) == sole || !may_be_taken_up,
                             "{version} served until {:?} ago, but only {sole} is known",
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -15,7 +15,7 @@
 use damaskhatch_policy::sheet::Role;
 use tokio::time::sleep;
 
-use crate::limit::{self, Limit};
+use crate::extra::{self, Extra};
 
 pub use http::Stats;
 pub use state::Engine;
@@ -79,13 +79,13 @@
         }
     });
     let data = web::Data::from(engine);
-    let limit = web::Data::new(Limit::default());
+    let extra = web::Data::new(Extra::default());
     let app = move || {
         App::new()
             .app_data(data.clone())
-            .app_data(limit.clone())
-            .wrap(from_fn(limit::name))
-            .configure(limit::configure)
+            .app_data(extra.clone())
+            .wrap(from_fn(extra::add))
+            .configure(extra::configure)
             .configure(http::configure)
     };
     HttpServer::new(app).workers(1).bind(listen)?.run().await
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -17,7 +17,7 @@
 use tokio::time::sleep;
 
 use crate::engine::CRASH_CODE;
-use crate::limit::{self, Limit};
+use crate::extra::{self, Extra};
 
 /// The header that carries the caller's id of a call.
 pub const CALL_HEADER: &str = "x-call-id";
@@ -59,13 +59,13 @@
 /// Serves the service's HTTP interface at an address until the process ends.
 pub async fn run(listen: SocketAddr) -> io::Result<()> {
     let data = web::Data::new(Service::default());
-    let limit = web::Data::new(Limit::default());
+    let extra = web::Data::new(Extra::default());
     HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
-            .app_data(limit.clone())
-            .wrap(from_fn(limit::name))
-            .configure(limit::configure)
+            .app_data(extra.clone())
+            .wrap(from_fn(extra::add))
+            .configure(extra::configure)
             .route("/load", web::get().to(report_load))
             .route("/requests", web::get().to(list_requests))
             .route("/test/record", web::get().to(read_record))
--- a/crates/standins/tests/limits.rs
+++ b/crates/standins/tests/limits.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use common::{Response, call, complete, start_proxied};
+use damaskhatch_standins::extra;
 use damaskhatch_standins::fleet::{self, Fleet, Process, SERVICE};
 use serde_json::json;
 use tokio::time::{Instant, sleep};
@@ -23,8 +24,8 @@
 }
 
 async fn set_limit(upstream: &Process, value: &str) {
-    let setting = json!({ "value": value });
-    fleet::post(upstream.address, "/test/limit", &setting).await.expect("the limit is set");
+    let setting = json!({ "name": extra::LIMIT, "value": value });
+    fleet::post(upstream.address, "/test/header", &setting).await.expect("the limit is set");
 }
 
 /// Sends requests to all hosts in turn for `time`; returns the responses and, at every half second,
--- a/crates/standins/tests/streams.rs
+++ b/crates/standins/tests/streams.rs
@@ -9,7 +9,8 @@
 };
 use damaskhatch_standins::completion;
 use damaskhatch_standins::engine::CRASH_DECODE_MARK;
-use damaskhatch_standins::fleet::{Fleet, MODEL, Process};
+use damaskhatch_standins::extra;
+use damaskhatch_standins::fleet::{self, Fleet, MODEL, Process};
 use damaskhatch_standins::load::build_prompt;
 use damaskhatch_standins::proxy::Rule;
 use serde_json::json;
@@ -96,6 +97,45 @@
     run_and_compare(&fleet, 31, 120, kill).await;
 }
 
+/// Guards against a response of the own interface that is joined from engines of two software
+/// versions after the first engine died.
+#[actix_web::test]
+async fn a_stream_is_not_resumed_on_an_engine_of_another_version() {
+    for (second, is_complete) in [("v1", true), ("v2", false)] {
+        let mut fleet = start_proxied(|plan| {
+            plan.domains.truncate(1);
+            plan.decodes_per_domain = 2;
+            plan.repeatable = true;
+            plan.engine_args = ["--gap-us", "10000"].map(str::to_owned).to_vec();
+        })
+        .await;
+        let versions = ["v1", second];
+        for (engine, version) in decode_engines(&fleet).zip(versions) {
+            let setting = json!({ "name": extra::VERSION, "value": version });
+            fleet::post(engine.address, "/test/header", &setting).await.expect("a version");
+        }
+        let (key, target) = (fleet.keys["release"].clone(), fleet.caller_addresses()[0]);
+        let prompt = build_prompt(1, 31, 120);
+        let asked = prompt.clone();
+        let request =
+            actix_web::rt::spawn(async move { complete(target, &key, &asked, 100).await });
+        sleep(Duration::from_millis(500)).await;
+        let mut died = false;
+        for engine in fleet.engines.iter_mut().filter(|own| own.name.contains("-decode-")) {
+            if !died && fetch_stats(engine).await.running > 0 {
+                engine.kill();
+                died = true;
+            }
+        }
+        assert!(died, "an engine runs the request");
+        let response = request.await.expect("no panic").expect("a response");
+        assert_eq!(response.status == 200, is_complete, "{second}: {}", response.body);
+        if is_complete {
+            assert_eq!(text(&response), completion::text(&prompt, 100));
+        }
+    }
+}
+
 #[actix_web::test]
 async fn a_stalled_engine_that_sends_heartbeats_is_not_abandoned() {
     let fleet = start_proxied(|plan| {
