--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -4,29 +4,25 @@
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, MAX_ATTEMPTS};
-use damaskhatch_policy::schedule::message::{BLOCK_TOKENS, Demand, MAX_BLOCKS};
-use damaskhatch_policy::strike::{self, Crash, Fingerprints, MAX_PARTS, Strike};
+use damaskhatch_policy::schedule::message::Demand;
+use damaskhatch_policy::strike::{self, Crash, Fingerprints, Strike};
 use tokio::sync::mpsc;
 
 use super::access::{Caller, authorize};
+use super::blocks::{hash_blocks, shared_blocks};
 use super::body;
 use super::charge::charge;
 use super::closed::Closed;
 use super::generate::{self, Done, Failure, Job};
-use super::hold::{Charged, Lease};
+use super::hold::Charged;
 use super::idempotency;
 use super::openai::{self, Completion, Style};
-use super::place::acquire;
+use super::place::{HeldBack, acquire, acquire_permits};
 use super::refusal::Refusal;
 use super::stream::{Piece, complete_response, events};
 use super::{Entry, read_body};
-use crate::relay::permit::{self, Permit, Terms};
 use crate::upstream::engine::Error;
 
-/// The length of one prompt block in bytes, at an assumed 4 bytes per token.
-const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * 4;
-/// How long an attempt waits for a permit of an engine that has used up its limit.
-const PERMIT_PATIENCE: Duration = Duration::from_millis(250);
 /// The priority of an attempt for a request without a token yet.
 const PRIORITY_NEW: i32 = 0;
 /// The priority of an attempt that continues a response whose first tokens are generated.
@@ -207,7 +203,7 @@
         if work.caller.is_withdrawn(&entry.shared.snapshot()) {
             return Err(Refusal::from(Kind::KeyWithdrawn).with_may_have_run(may_have_run));
         }
-        let permits = match acquire_permits(entry, work, &lease).await {
+        let permits = match acquire_permits(entry, &lease, work.caller.tag).await {
             Ok(permits) => permits,
             Err(HeldBack { engine, retry_after }) => {
                 // Nothing was sent: another pair is tried, and no retry spent.
@@ -258,28 +254,6 @@
     Err(held_back.with_may_have_run(may_have_run))
 }
 
-/// An engine whose limit is used up, and when a request may come back.
-#[derive(Debug)]
-struct HeldBack {
-    engine: Tag,
-    retry_after: Duration,
-}
-
-/// Obtains the permits for the requests to the prefill engine and to the decode engine of a pair.
-async fn acquire_permits(
-    entry: &Entry,
-    work: &Work,
-    lease: &Lease,
-) -> Result<[Permit; 2], HeldBack> {
-    let terms = Terms { team: work.caller.tag, priority: 0, patience: PERMIT_PATIENCE };
-    let acquire = async |engine| {
-        let acquired = permit::acquire(entry, (engine, 0), terms).await;
-        acquired.map_err(|retry_after| HeldBack { engine, retry_after })
-    };
-    let decode = acquire(lease.pair.decode).await?;
-    Ok([acquire(lease.pair.prefill).await?, decode])
-}
-
 /// Observes the latency of a token: since the request was prepared for the first one, since
 /// the previous token for any other.
 fn observe_token(
@@ -346,30 +320,6 @@
     }
 }
 
-/// Computes the cumulative hashes of the prompt's leading complete blocks.
-fn hash_blocks(prompt: &str) -> Vec<u32> {
-    let mut hasher = blake3::Hasher::new();
-    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
-    let digests = blocks.map(|block| {
-        hasher.update(block);
-        let digest = hasher.finalize();
-        let bytes = digest.as_bytes();
-        u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
-    });
-    digests.collect()
-}
-
-/// The fingerprints of the prompt's leading blocks, without the last one, which other requests hardly
-/// have.
-///
-/// Each block's stands for all blocks up to it.
-fn shared_blocks(service: Tag, prompt: &str) -> Vec<Tag> {
-    let mut blocks = hash_blocks(prompt);
-    blocks.pop();
-    let shared = blocks.iter().take(MAX_PARTS);
-    shared.map(|block| strike::part(service, &block.to_le_bytes())).collect()
-}
-
 /// An attempt at a request.
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for callers, served by the traffic threads.
 
 pub mod access;
+pub mod blocks;
 pub mod body;
 pub mod charge;
 pub mod closed;
--- a/crates/damaskhatch/src/entry/place.rs
+++ b/crates/damaskhatch/src/entry/place.rs
@@ -15,6 +15,7 @@
 use super::hold::{Lease, Place};
 use super::refusal::Refusal;
 use crate::control::claims::{Acquire, Hold, Outcome};
+use crate::relay::permit::{self, Permit, Terms};
 use crate::upstream::engine;
 
 /// How long a handler waits beyond the patience of its request, to receive a late refusal.
@@ -23,6 +24,9 @@
 /// The pause before the demand is sent to a scheduler again if the fallback found no pair.
 const FALLBACK_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long an attempt waits for a permit of an engine that has used up its limit.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(250);
+
 /// Waits for a pair and leases it; fails if the caller's key is withdrawn during the wait.
 ///
 /// While no scheduler replies and the fallback finds no free engine, both are retried
@@ -187,3 +191,27 @@
     sampled.dedup_by_key(|engine| engine.tag);
     sampled
 }
+
+/// An engine whose limit is used up, and when a request may come back.
+#[derive(Debug)]
+pub struct HeldBack {
+    /// The engine.
+    pub engine: Tag,
+    /// The time after which a request may come back.
+    pub retry_after: Duration,
+}
+
+/// Obtains the permits for the requests to the prefill engine and to the decode engine of a pair.
+pub async fn acquire_permits(
+    entry: &Entry,
+    lease: &Lease,
+    team: Tag,
+) -> Result<[Permit; 2], HeldBack> {
+    let terms = Terms { team, priority: 0, patience: PERMIT_PATIENCE };
+    let acquire = async |engine| {
+        let acquired = permit::acquire(entry, (engine, 0), terms).await;
+        acquired.map_err(|retry_after| HeldBack { engine, retry_after })
+    };
+    let decode = acquire(lease.pair.decode).await?;
+    Ok([acquire(lease.pair.prefill).await?, decode])
+}
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -8,8 +8,6 @@
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry::NO_VERSION;
-use tokio::sync::oneshot;
 
 use super::attempt::{
     Attempt, Complete, Failure, read_complete, record_failure, try_acquire_retry,
@@ -18,7 +16,7 @@
 use super::request::Routed;
 use super::response::build_response;
 use super::stream::{Parts, stream};
-use crate::control::lineage::{Begin, Find};
+use super::version::find_version;
 use crate::entry::refusal::Refusal;
 use crate::entry::{Entry, body};
 
@@ -62,40 +60,6 @@
     }
 }
 
-/// Finds the software version that began the stream which a caller takes up.
-///
-/// # Errors
-///
-/// Refuses the request if nobody knows the version, so that its caller can begin anew.
-async fn find_version(entry: &Entry, routed: &Routed) -> Result<Tag, Refusal> {
-    let Some(lineage) = &entry.control.lineage else { return Ok(NO_VERSION) };
-    let first = routed.headers.get(entry.header_names().resumes);
-    let first = first.and_then(|first| first.to_str().ok()).map(|first| first.trim().to_owned());
-    let stream = first.as_deref().map(Tag::of);
-    let service = entry.shared.snapshot().services[routed.service].tag;
-    let (reply, found) = oneshot::channel();
-    lineage.do_send(Find { stream, service, reply });
-    // The channel closes without an answer if the control thread restarts.
-    let version = found.await.unwrap_or_default();
-    entry.shared.journal.record(
-        &routed.label,
-        format_args!(
-            "event=taken_up first={} version={}",
-            first.as_deref().unwrap_or("unnamed"),
-            version.map_or_else(|| "unknown".to_owned(), |version| version.to_string())
-        ),
-    );
-    let version = version.ok_or(Refusal::after(Kind::Unavailable, UNKNOWN_RETRY_AFTER))?;
-    if let Some(stream) = stream {
-        // Taken up again, the stream is known here.
-        lineage.do_send(Begin { stream, version });
-    }
-    Ok(version)
-}
-
-/// When a caller may begin anew whose stream is of a version that nobody knows.
-const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// Reads an engine's complete failure response and forwards it.
 async fn forward_failure(
     entry: &Entry,
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod request;
 pub mod response;
 pub mod stream;
+pub mod version;
 
 use std::time::Duration;
 
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -22,7 +22,7 @@
 use super::held::{Export, Reservation};
 use super::permit::{self, Permit, Terms};
 use super::request::{Routed, Tokens};
-use crate::control::lineage::Begin;
+use super::version::{check_version, pin_version};
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
 use crate::headers;
@@ -119,7 +119,8 @@
         routed.keep_charge();
         let sent_at = Instant::now();
         let sent = send(entry, routed, &reservation.upstream, permit, &extra).await;
-        let sent = sent.and_then(|response| check_version(entry, routed, &reservation, response));
+        let sent =
+            sent.and_then(|response| check_version(entry, routed, &reservation.upstream, response));
         let failure = match sent {
             Ok(response) => {
                 progress.history.record(Outcome::Ran);
@@ -146,41 +147,6 @@
     }
 }
 
-/// Rejects the response of an engine that has started again with another software version since it
-/// was chosen.
-fn check_version(
-    entry: &Entry,
-    routed: &Routed,
-    reservation: &Reservation,
-    response: Response,
-) -> Result<Response, Failure> {
-    let service = entry.shared.snapshot().services[routed.service].tag;
-    let chosen = &reservation.upstream;
-    let registry = entry.shared.upstreams();
-    match registry.upstream(service, chosen.tag) {
-        Some(now) if now.software != chosen.software => Err(Failure {
-            outcome: Outcome::Unknown,
-            reason: format!(
-                "the engine has changed from software version {} to {} since it was chosen",
-                chosen.software, now.software
-            ),
-            is_upstream_at_fault: false,
-        }),
-        _ => Ok(response),
-    }
-}
-
-/// Binds a response to the software version of its first engine, and records that for take-ups.
-///
-/// Recorded before the prefill, the version is saved by the time of the first event, and no further
-/// engine of the response has another one.
-fn pin_version(entry: &Entry, routed: &Routed, progress: &mut Progress, engine: &registry::Entry) {
-    progress.version = Some(engine.software);
-    if let Some(lineage) = &entry.control.lineage {
-        lineage.do_send(Begin { stream: Tag::of(&routed.label), version: engine.software });
-    }
-}
-
 /// Reserves at the least loaded decode engine that has room, or refuses the request.
 async fn reserve(
     entry: &Entry,
