Do not rely on the only known software version while the list of engines is out of date

A host that is cut off, or whose store is away, may miss a version that comes, begins streams and leaves, and would take such a stream up at the version that it knows. Found by reading.

--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -15,6 +15,7 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::oneshot;
 
+use crate::control::follow::DIRECT_READ_AFTER;
 use crate::control::{Incoming, on_change, on_restore};
 use crate::peers::Arrival;
 use crate::prelude::*;
@@ -27,6 +28,8 @@
 const RECORDERS_PER_DOMAIN: usize = 2;
 /// The time between two looks at the registered engines.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(250);
+/// The age of what the store says up to which the list of engines counts as up to date.
+const MAX_LIST_AGE: Duration = DIRECT_READ_AFTER;
 /// How long a host collects streams before it tells the recorders.
 const TELL_DELAY: Duration = Duration::from_millis(5);
 /// The number of streams in a datagram, of up to ten bytes each.
@@ -91,6 +94,8 @@
     is_telling: bool,
     /// Whether streams were told to the recorders at the last look.
     was_recording: bool,
+    /// Whether the list of engines was out of date at the last look, as it is before the first.
+    was_stale: bool,
     searches: HashMap<u64, Search>,
     /// The number of queries so far.
     serial: u64,
@@ -107,6 +112,7 @@
             untold: Vec::new(),
             is_telling: false,
             was_recording: false,
+            was_stale: true,
             searches: HashMap::new(),
             serial: 0,
             store: saved::State::default(),
@@ -302,8 +308,18 @@
 
     /// Takes the registered engines into account, and saves which versions have served.
     fn observe(&mut self, ctx: &mut Context<Self>) {
-        let registry = self.shared.upstreams();
-        self.served.observe(registry.entries().map(|(_, entry)| entry), Instant::now());
+        let is_stale = self.shared.config_age().is_none_or(|age| age > MAX_LIST_AGE);
+        if is_stale {
+            // Engines of other versions may come and go unseen.
+            self.served.interrupt();
+        } else {
+            let registry = self.shared.upstreams();
+            self.served.observe(registry.entries().map(|(_, entry)| entry), Instant::now());
+            if self.was_stale {
+                self.load_served(ctx);
+            }
+        }
+        self.was_stale = is_stale;
         let is_recording = self.is_recording();
         if is_recording != self.was_recording {
             log::info!(
@@ -342,7 +358,6 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
-        self.load_served(ctx);
         on_restore(&self.shared.era, ctx, Self::save_again);
         on_change(self.shared.registry.clone(), ctx, Self::observe);
         ctx.run_interval(OBSERVE_INTERVAL, |actor, ctx| guard(actor, ctx, Self::observe));
--- a/crates/damaskhatch/src/control/lineage/saved.rs
+++ b/crates/damaskhatch/src/control/lineage/saved.rs
@@ -43,7 +43,8 @@
     loaded_at: Option<Instant>,
     /// The versions that have served, as this host knows the store to have them, and their version.
     served: Option<(Saved, u64)>,
-    is_saving_served: bool,
+    /// Whether a read or a write of the versions that have served is in progress.
+    is_served_busy: bool,
 }
 
 impl State {
@@ -166,12 +167,17 @@
         self.settle();
     }
 
-    /// Reads which versions have served before this process started, until that succeeds.
+    /// Reads which versions have served while this host did not see them, until that succeeds.
     pub(super) fn load_served(&mut self, ctx: &mut Context<Self>) {
+        if std::mem::replace(&mut self.store.is_served_busy, true) {
+            ctx.run_later(RETRY_PAUSE, Self::load_served);
+            return;
+        }
         let client = self.shared.store();
         let read = async move { read_served(client.get(SERVED_KEY).await) };
         ctx.spawn(read.into_actor(self).map(|read, actor, ctx| {
             actor.count_call(read.is_ok());
+            actor.store.is_served_busy = false;
             match read {
                 Ok(Some((saved, version))) => {
                     let now = Instant::now();
@@ -196,7 +202,7 @@
         let eligible = self.shared.hosts().all_eligible(now);
         let writer = rendezvous::owner(Tag::of(SERVED_ROLE), eligible);
         if writer != Some(self.shared.host)
-            || self.store.is_saving_served
+            || self.store.is_served_busy
             || !self.served.is_complete(now)
         {
             return;
@@ -206,7 +212,7 @@
         if saved.is_empty() || known.is_some_and(|(known, _)| *known == saved) {
             return;
         }
-        self.store.is_saving_served = true;
+        self.store.is_served_busy = true;
         let known = known.map(|(_, version)| *version);
         let client = self.shared.store();
         let value = serde_json::to_string(&saved).expect("tags are numbers");
@@ -225,13 +231,13 @@
                 Ok(version) => {
                     log::info!("event=served_versions_saved versions={saved:?}");
                     actor.store.served = Some((saved, version));
-                    actor.store.is_saving_served = false;
+                    actor.store.is_served_busy = false;
                 }
                 Err(error) => {
                     // Another host has written, or the response was lost.
                     log::info!("event=served_versions_not_saved error={error}");
                     actor.store.served = None;
-                    ctx.run_later(RETRY_PAUSE, |actor, _ctx| actor.store.is_saving_served = false);
+                    ctx.run_later(RETRY_PAUSE, |actor, _ctx| actor.store.is_served_busy = false);
                 }
             }
         }));
--- a/crates/policy/src/lineage.rs
+++ b/crates/policy/src/lineage.rs
@@ -101,7 +101,15 @@
         }
     }
 
-    /// Records that nothing has served that is not known, at a start after [`Self::restore`].
+    /// Records that engines may have come and gone unseen, because the list of them is out of date.
+    ///
+    /// The versions are complete again once a whole life of a stream has been observed, or what another
+    /// process saved has been restored.
+    pub const fn interrupt(&mut self) {
+        self.complete_from = None;
+    }
+
+    /// Records that nothing has served that is not known, after [`Self::restore`].
     pub fn complete(&mut self, now: Instant) {
         self.complete_from = Some(now);
     }
--- a/crates/policy/tests/lineage.rs
+++ b/crates/policy/tests/lineage.rs
@@ -135,3 +135,21 @@
     }
     assert_eq!(served.sole(SERVICE, later), Some(Tag(2)), "it has seen a whole life itself");
 }
+
+/// Guards against a host that was cut off while another version came, began streams and left.
+#[test]
+fn a_host_knows_no_only_version_after_its_list_was_out_of_date() {
+    let start = Instant::now();
+    let mut served = Served::default();
+    let entries = [engine(Tag(1))];
+    served.observe(entries.iter(), start);
+    served.complete(start);
+    assert_eq!(served.sole(SERVICE, start), Some(Tag(1)));
+    served.interrupt();
+    assert_eq!(served.sole(SERVICE, start + STEP), None);
+    served.observe(entries.iter(), start + STEP);
+    assert_eq!(served.sole(SERVICE, start + STEP), None);
+    served.restore(&vec![(SERVICE, vec![Tag(1), Tag(2)])], start + STEP);
+    served.complete(start + STEP);
+    assert_eq!(served.sole(SERVICE, start + STEP), None, "the other one is known now");
+}
