--- a/crates/damaskhatch/src/control/limits/mod.rs
+++ b/crates/damaskhatch/src/control/limits/mod.rs
@@ -3,7 +3,7 @@
 //! For each limited upstream one live host of the fleet grants the requests of all hosts, one by
 //! one, by datagram. A host that gets no reply from it asks the one that stands in for it.
 
-mod words;
+mod statements;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,6 +40,11 @@
 /// How long a permit that was not used serves another request.
 const PERMIT_TTL: Duration = Duration::from_millis(500);
 
+/// The value of the metric's `result` label for requests that were permitted.
+const PERMITTED: &str = "permitted";
+/// The same for requests that were not.
+const HELD_BACK: &str = "held_back";
+
 /// Reports what a response said about the limit of its upstream.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -157,7 +162,7 @@
     fn acquire(&mut self, acquire: Acquire, ctx: &mut Context<Self>) {
         let now = Instant::now();
         let Acquire { ask, reply } = acquire;
-        let upstream = ask.word.upstream;
+        let upstream = ask.statement.upstream;
         if self.take_returned(upstream, now) {
             self.answer(upstream, reply, Ok(()));
             return;
@@ -214,13 +219,13 @@
 
     /// Decides on an ask as the holder of its upstream.
     fn decide(&mut self, id: Id, ask: &Ask, now: Instant) -> Verdict {
-        self.merge(&[ask.word]);
-        let upstream = ask.word.upstream;
-        let Some(word) = self.table.limit(upstream, ask.word.started_ms) else {
+        self.merge(&[ask.statement]);
+        let upstream = ask.statement.upstream;
+        let Some(statement) = self.table.limit(upstream, ask.statement.started_ms) else {
             return Verdict::Granted;
         };
         match self.fraction(upstream, now) {
-            Some(fraction) => self.pacer.ask(id, &Ask { word, ..*ask }, fraction, now),
+            Some(fraction) => self.pacer.ask(id, &Ask { statement, ..*ask }, fraction, now),
             None => Verdict::Refused { retry_after: UNANSWERED_RETRY_AFTER },
         }
     }
@@ -231,7 +236,7 @@
             return;
         };
         self.silent.remove(&waiter.holder);
-        let upstream = waiter.ask.word.upstream;
+        let upstream = waiter.ask.statement.upstream;
         let result = match permission {
             Verdict::Queued => {
                 waiter.is_queued = true;
@@ -241,7 +246,7 @@
             Verdict::Refused { retry_after } => Err(retry_after),
         };
         let Some(Waiter { ask, reply, .. }) = self.waiters.remove(&serial) else { return };
-        if let (Err(retry_after), Some(per_s)) = (result, ask.word.per_s) {
+        if let (Err(retry_after), Some(per_s)) = (result, ask.statement.per_s) {
             let pause = Duration::try_from_secs_f64(0.5 / per_s).unwrap_or(MAX_REFUSAL_TIME);
             let until = now + pause.min(MAX_REFUSAL_TIME);
             self.refused.insert(upstream, Refused { until, retry_after });
@@ -256,7 +261,7 @@
         reply: oneshot::Sender<std::result::Result<(), Duration>>,
         result: std::result::Result<(), Duration>,
     ) {
-        let label = if result.is_ok() { "permitted" } else { "held_back" };
+        let label = if result.is_ok() { PERMITTED } else { HELD_BACK };
         let name = self.name(upstream);
         if reply.send(result).is_ok() {
             self.shared.metrics.limited.with_label_values(&[name.as_str(), label]).inc();
@@ -306,7 +311,7 @@
         let Some(waiter) = self.waiters.get(&serial) else { return };
         let Waiter { ask, holder, asked_at, sent_at, is_queued, .. } = waiter;
         let elapsed = now.saturating_duration_since(*asked_at);
-        let (holder, upstream) = (*holder, ask.word.upstream);
+        let (holder, upstream) = (*holder, ask.statement.upstream);
         let limit = if *is_queued { ask.patience + HOLDER_TIMEOUT } else { HOLDER_TIMEOUT };
         let is_due = now.saturating_duration_since(*sent_at) >= RESEND_INTERVAL;
         if elapsed >= limit {
@@ -326,8 +331,8 @@
     fn receive(&mut self, arrival: &Arrival, ctx: &mut Context<Self>) {
         let now = Instant::now();
         match &arrival.body {
-            Body::Limits(words) => self.merge(words),
-            Body::GetLimits => self.send_words(arrival.source),
+            Body::Limits(statements) => self.merge(statements),
+            Body::GetLimits => self.send_statements(arrival.source),
             Body::Ask { serial, ask } => {
                 let Arrival { from, incarnation, source, .. } = arrival;
                 let id = Id { host: *from, incarnation: *incarnation, serial: *serial };
--- a/crates/damaskhatch/src/control/limits/words.rs
+++ b/crates/damaskhatch/src/control/limits/statements.rs
@@ -4,15 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use damaskhatch_policy::limit::{Named, Word};
+use damaskhatch_policy::limit::{Named, Statement};
 use damaskhatch_wire::prelude::Body;
 use rand::seq::IteratorRandom;
 
-use super::{Limits, Observe};
+use super::{HELD_BACK, Limits, Observe, PERMITTED};
 use crate::prelude::*;
 
-/// The number of words in a datagram, of up to 37 bytes each.
-const WORDS_PER_DATAGRAM: usize = 32;
+/// The number of statements in a datagram, of up to 37 bytes each.
+const STATEMENTS_PER_DATAGRAM: usize = 32;
 /// The number of hosts that a started host asks for the limits that they know.
 const ASKED_AT_START: usize = 3;
 
@@ -27,23 +27,23 @@
             return;
         }
         let now = Instant::now();
-        if let Some(word) = self.table.observe(seen, now) {
-            self.apply(&word, "response");
+        if let Some(statement) = self.table.observe(seen, now) {
+            self.apply(&statement, "response");
             self.publish();
-            let (hosts, words) = (self.shared.hosts(), vec![word]);
+            let (hosts, statements) = (self.shared.hosts(), vec![statement]);
             for member in hosts.members().filter(|member| member.is_alive(now)) {
-                self.shared.outbox.send(member.record.address, Body::Limits(words.clone()));
+                self.shared.outbox.send(member.record.address, Body::Limits(statements.clone()));
             }
         }
     }
 
-    pub(super) fn merge(&mut self, words: &[Word]) {
+    pub(super) fn merge(&mut self, statements: &[Statement]) {
         let now = Instant::now();
         let mut has_changed = false;
-        for word in words {
-            if self.table.merge(word, now) {
+        for statement in statements {
+            if self.table.merge(statement, now) {
                 has_changed = true;
-                self.apply(word, "peer");
+                self.apply(statement, "peer");
             }
         }
         if has_changed {
@@ -51,9 +51,9 @@
         }
     }
 
-    /// Logs a new word and shows it in the metrics.
-    fn apply(&mut self, word: &Word, source: &str) {
-        let Word { upstream, started_ms, serial, per_s } = *word;
+    /// Logs a new statement and shows it in the metrics.
+    fn apply(&mut self, statement: &Statement, source: &str) {
+        let Statement { upstream, started_ms, serial, per_s } = *statement;
         let name = self.name(upstream);
         self.refused.remove(&upstream);
         let Some(per_s) = per_s else {
@@ -72,10 +72,23 @@
     }
 
     fn forget_metric(&self, name: &str) {
-        // Fails if there is none, where a lift is the first word that this host hears.
+        // Fails if there is none, where a lift is the first statement that this host hears.
         let _absent = self.shared.metrics.limits.remove_label_values(&[name]);
     }
 
+    /// Forgets what is kept for an upstream that has ended.
+    fn forget(&mut self, upstream: Tag) {
+        let name = self.name(upstream);
+        self.forget_metric(&name);
+        for label in [PERMITTED, HELD_BACK] {
+            let _absent = self.shared.metrics.limited.remove_label_values(&[name.as_str(), label]);
+        }
+        self.refused.remove(&upstream);
+        self.returned.remove(&upstream);
+        self.malformed.remove(&upstream);
+        log::info!("event=limit_forgotten upstream={name} reason=ended");
+    }
+
     /// The name of an upstream, or its tag if this host does not know it.
     pub(super) fn name(&self, upstream: Tag) -> String {
         let registry = self.shared.upstreams();
@@ -102,7 +115,7 @@
         let (hosts, now) = (self.shared.hosts(), Instant::now());
         let alive = hosts.members().filter(|member| member.is_alive(now));
         if let Some(member) = alive.choose(&mut rand::rng()) {
-            self.send_words(member.record.address);
+            self.send_statements(member.record.address);
         }
     }
 
@@ -116,10 +129,10 @@
         }
     }
 
-    pub(super) fn send_words(&self, to: SocketAddr) {
-        let words: Vec<Word> = self.table.words().collect();
-        for words in words.chunks(WORDS_PER_DATAGRAM) {
-            self.shared.outbox.send(to, Body::Limits(words.to_vec()));
+    pub(super) fn send_statements(&self, to: SocketAddr) {
+        let statements: Vec<Statement> = self.table.statements().collect();
+        for statements in statements.chunks(STATEMENTS_PER_DATAGRAM) {
+            self.shared.outbox.send(to, Body::Limits(statements.to_vec()));
         }
     }
 
@@ -130,20 +143,16 @@
         }
         let running: HashMap<Tag, u64> =
             registry.entries().map(|(_, entry)| (entry.tag, entry.started_ms)).collect();
-        let ended: Vec<Word> = self
+        let ended: Vec<Statement> = self
             .table
-            .words()
-            .filter(|word| match running.get(&word.upstream) {
-                Some(started_ms) => word.started_ms < *started_ms,
-                None => snapshot.upstream(word.upstream).is_none(),
+            .statements()
+            .filter(|statement| match running.get(&statement.upstream) {
+                Some(started_ms) => statement.started_ms < *started_ms,
+                None => snapshot.upstream(statement.upstream).is_none(),
             })
             .collect();
-        for word in &ended {
-            let name = self.name(word.upstream);
-            self.forget_metric(&name);
-            log::info!("event=limit_forgotten upstream={name} reason=ended");
-        }
-        let is_ended = |upstream| ended.iter().any(|word| word.upstream == upstream);
+        ended.iter().for_each(|statement| self.forget(statement.upstream));
+        let is_ended = |upstream| ended.iter().any(|statement| statement.upstream == upstream);
         if self.table.retain(|upstream, _started| !is_ended(upstream)) {
             self.publish();
         }
--- a/crates/damaskhatch/src/relay/permit.rs
+++ b/crates/damaskhatch/src/relay/permit.rs
@@ -3,7 +3,7 @@
 //! Every request to an upstream carries a [`Permit`]: first attempts, retries, prefills and
 //! resumptions. See [docs/DESIGN.md](../../../../docs/DESIGN.md#limits-of-upstreams).
 
-use damaskhatch_policy::limit::{Ask, Word};
+use damaskhatch_policy::limit::{Ask, Statement};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 use tokio::sync::oneshot;
@@ -75,18 +75,18 @@
     let limit = entry.shared.known_limits().limit(upstream, started_ms);
     match limit {
         None => Ok(Permit::unlimited()),
-        Some(word) => ask(entry, word, terms).await,
+        Some(statement) => ask(entry, statement, terms).await,
     }
 }
 
-async fn ask(entry: &Entry, word: Word, terms: Terms) -> Result<Permit, Duration> {
+async fn ask(entry: &Entry, statement: Statement, terms: Terms) -> Result<Permit, Duration> {
     let Terms { team, priority, patience } = terms;
     let (reply, answer) = oneshot::channel();
-    let ask = Ask { word, team, priority, patience };
+    let ask = Ask { statement, team, priority, patience };
     entry.control.limits.do_send(Acquire { ask, reply });
     // The channel closes without an answer if the control thread restarts.
     answer.await.unwrap_or(Err(RESTART_RETRY_AFTER))?;
-    Ok(Permit { limited: Some((entry.control.clone(), word.upstream)) })
+    Ok(Permit { limited: Some((entry.control.clone(), statement.upstream)) })
 }
 
 /// When a request may come back whose ask was lost in a restart of the control thread.
--- a/crates/policy/examples/limits.rs
+++ b/crates/policy/examples/limits.rs
@@ -4,7 +4,7 @@
 //! for up to 135 ms. Printed are the part of the limit that is used, and the most requests in 4 s as
 //! a fraction of what the limit allows in that time.
 
-use damaskhatch_policy::limit::{Ask, Id, Pacer, Verdict, Word};
+use damaskhatch_policy::limit::{Ask, Id, Pacer, Statement, Verdict};
 use damaskhatch_policy::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -63,9 +63,10 @@
             asked.last_mut().expect("an interval")[host] += 1.0;
             let at = if way == Way::Holder { 0 } else { host };
             let id = Id { host: Tag(host as u64), incarnation: 1, serial };
-            let word = Word { upstream: Tag(1), started_ms: 1, serial: 1, per_s: Some(per_s) };
+            let statement =
+                Statement { upstream: Tag(1), started_ms: 1, serial: 1, per_s: Some(per_s) };
             let patience = if at == host { PATIENCE } else { REMOTE_PATIENCE };
-            let ask = Ask { word, team: Tag(1), priority: 0, patience };
+            let ask = Ask { statement, team: Tag(1), priority: 0, patience };
             if part(at) > 0.0 && pacers[at].ask(id, &ask, part(at), now) == Verdict::Granted {
                 grants.push(now);
             }
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -10,7 +10,7 @@
 pub mod table;
 
 pub use pacer::{Ask, Id, Pacer, Verdict};
-pub use table::{Named, Seen, Table, Word};
+pub use table::{Named, Seen, Statement, Table};
 
 use crate::prelude::*;
 use crate::rendezvous;
--- a/crates/policy/src/limit/pacer.rs
+++ b/crates/policy/src/limit/pacer.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 
-use super::Word;
+use super::Statement;
 use crate::prelude::*;
 
 /// The most requests that a bucket holds beyond what flows in during [`SLACK`].
@@ -38,7 +38,7 @@
     /// Asks for one request to an upstream.
     pub struct Ask {
         /// The limit, as known to the host that asks.
-        pub word: Word,
+        pub statement: Statement,
         /// The team whose request it is.
         pub team: Tag,
         /// The priority, 0 being the highest.
@@ -75,7 +75,7 @@
 /// The bucket of one upstream and the requests that wait for it.
 #[derive(Debug, Clone)]
 struct Queue {
-    word: Word,
+    statement: Statement,
     /// Requests that may be granted now; may be fractional.
     level: f64,
     refilled_at: Instant,
@@ -89,9 +89,9 @@
 }
 
 impl Queue {
-    fn new(word: Word, now: Instant) -> Self {
+    fn new(statement: Statement, now: Instant) -> Self {
         Self {
-            word,
+            statement,
             level: 0.0,
             refilled_at: now,
             asked_at: now,
@@ -149,11 +149,13 @@
     ///
     /// An ask that comes again gets the same answer, so that it may be sent again.
     pub fn ask(&mut self, id: Id, ask: &Ask, fraction: f64, now: Instant) -> Verdict {
-        let Some(per_s) = ask.word.per_s else { return Verdict::Granted };
-        let queue =
-            self.queues.entry(ask.word.upstream).or_insert_with(|| Queue::new(ask.word, now));
+        let Some(per_s) = ask.statement.per_s else { return Verdict::Granted };
+        let queue = self
+            .queues
+            .entry(ask.statement.upstream)
+            .or_insert_with(|| Queue::new(ask.statement, now));
         let rate = per_s * fraction;
-        queue.word = ask.word;
+        queue.statement = ask.statement;
         queue.asked_at = now;
         if queue.granted.contains_key(&id) {
             return Verdict::Granted;
@@ -187,7 +189,7 @@
     ) -> Vec<(Id, Tag, Verdict)> {
         let mut answers = Vec::new();
         for (upstream, queue) in &mut self.queues {
-            let rate = queue.word.per_s.unwrap_or(f64::INFINITY) * fraction(*upstream);
+            let rate = queue.statement.per_s.unwrap_or(f64::INFINITY) * fraction(*upstream);
             queue.refill(rate, now);
             while queue.level >= 1.0 {
                 let Some(next) = queue.next() else { break };
--- a/crates/policy/src/limit/table.rs
+++ b/crates/policy/src/limit/table.rs
@@ -1,4 +1,4 @@
-//! The limits that a host knows, and which of two different words about an upstream is the later.
+//! The limits that a host knows, and which of two different statements about an upstream is the later.
 
 use std::collections::HashMap;
 
@@ -9,12 +9,12 @@
 
 plain! { value
     /// What an upstream last said about the requests a second that it takes.
-    pub struct Word {
+    pub struct Statement {
         /// The upstream.
         pub upstream: Tag,
         /// The upstream's start, in milliseconds since the Unix epoch; 0 if it is unknown.
         pub started_ms: u64,
-        /// The number of the word among those about this start; hosts count on from the last one
+        /// The number of the statement among those about this start; hosts count on from the last one
         /// that they know.
         pub serial: u32,
         /// The limit in requests a second; `None` once it is lifted.
@@ -22,14 +22,14 @@
     }
 }
 
-impl Word {
-    /// Whether this word replaces another one about the same upstream.
+impl Statement {
+    /// Whether this statement replaces another one about the same upstream.
     ///
-    /// Of two words with the same number the lower limit holds on all hosts: a limit that is lifted
+    /// Of two statements with the same number the lower limit holds on all hosts: a limit that is lifted
     /// late costs little.
     fn replaces(&self, other: &Self) -> bool {
-        let order = |word: &Self| (word.started_ms, word.serial);
-        let rate = |word: &Self| word.per_s.unwrap_or(f64::INFINITY);
+        let order = |statement: &Self| (statement.started_ms, statement.serial);
+        let rate = |statement: &Self| statement.per_s.unwrap_or(f64::INFINITY);
         order(self) > order(other) || order(self) == order(other) && rate(self) < rate(other)
     }
 }
@@ -78,8 +78,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Known {
-    word: Word,
-    /// When this host learned the word or last saw a response that confirmed it.
+    statement: Statement,
+    /// When this host learned the statement or last saw a response that confirmed it.
     confirmed_at: Instant,
 }
 
@@ -90,15 +90,15 @@
 }
 
 impl Table {
-    /// The word in force about a start of an upstream, if it names a limit.
-    pub fn limit(&self, upstream: Tag, started_ms: u64) -> Option<Word> {
-        let word = self.known.get(&upstream)?.word;
-        (word.per_s.is_some() && word.started_ms >= started_ms).then_some(word)
+    /// The statement in force about a start of an upstream, if it names a limit.
+    pub fn limit(&self, upstream: Tag, started_ms: u64) -> Option<Statement> {
+        let statement = self.known.get(&upstream)?.statement;
+        (statement.per_s.is_some() && statement.started_ms >= started_ms).then_some(statement)
     }
 
-    /// All words, including those by which a limit was lifted.
-    pub fn words(&self) -> impl Iterator<Item = Word> {
-        self.known.values().map(|known| known.word)
+    /// All statements, including those by which a limit was lifted.
+    pub fn statements(&self) -> impl Iterator<Item = Statement> {
+        self.known.values().map(|known| known.statement)
     }
 
     /// Whether nothing is known of any upstream.
@@ -108,15 +108,15 @@
 
     /// Whether a response of the upstream that names no limit may change anything.
     pub fn is_limited(&self, upstream: Tag) -> bool {
-        self.known.get(&upstream).is_some_and(|known| known.word.per_s.is_some())
+        self.known.get(&upstream).is_some_and(|known| known.statement.per_s.is_some())
     }
 
-    /// Takes a response into account; returns the word if it is a new one.
+    /// Takes a response into account; returns the statement if it is a new one.
     ///
     /// A response lifts a limit only if its request was sent after the limit was last confirmed
     /// here, because one sent before may have been answered before the upstream named it. For the
     /// same reason such a response does not raise a limit.
-    pub fn observe(&mut self, seen: &Seen, now: Instant) -> Option<Word> {
+    pub fn observe(&mut self, seen: &Seen, now: Instant) -> Option<Statement> {
         let per_s = match seen.named {
             Named::Nothing => None,
             Named::Limit(limit) => Some(limit),
@@ -125,44 +125,45 @@
         let Some(known) = self.known.get_mut(&seen.upstream) else {
             per_s?;
             let Seen { upstream, started_ms, .. } = *seen;
-            let word = Word { upstream, started_ms, serial: 1, per_s };
-            self.known.insert(upstream, Known { word, confirmed_at: now });
-            return Some(word);
+            let statement = Statement { upstream, started_ms, serial: 1, per_s };
+            self.known.insert(upstream, Known { statement, confirmed_at: now });
+            return Some(statement);
         };
-        if seen.started_ms < known.word.started_ms {
+        if seen.started_ms < known.statement.started_ms {
             return None;
         }
-        if seen.started_ms > known.word.started_ms {
+        if seen.started_ms > known.statement.started_ms {
             per_s?;
-            let word = Word { started_ms: seen.started_ms, serial: 1, per_s, ..known.word };
-            *known = Known { word, confirmed_at: now };
-            return Some(word);
+            let statement =
+                Statement { started_ms: seen.started_ms, serial: 1, per_s, ..known.statement };
+            *known = Known { statement, confirmed_at: now };
+            return Some(statement);
         }
-        if per_s == known.word.per_s {
+        if per_s == known.statement.per_s {
             known.confirmed_at = now;
             return None;
         }
         let rate = |per_s: Option<f64>| per_s.unwrap_or(f64::INFINITY);
         let is_later = seen.sent_at > known.confirmed_at;
-        if !is_later && rate(per_s) > rate(known.word.per_s) {
+        if !is_later && rate(per_s) > rate(known.statement.per_s) {
             return None;
         }
-        let word = Word { serial: known.word.serial + 1, per_s, ..known.word };
-        *known = Known { word, confirmed_at: now };
-        Some(word)
+        let statement = Statement { serial: known.statement.serial + 1, per_s, ..known.statement };
+        *known = Known { statement, confirmed_at: now };
+        Some(statement)
     }
 
-    /// Takes a word of another host into account; returns whether it is new here.
-    pub fn merge(&mut self, word: &Word, now: Instant) -> bool {
-        let known = Known { word: *word, confirmed_at: now };
-        match self.known.get_mut(&word.upstream) {
-            Some(own) if !word.replaces(&own.word) => false,
+    /// Takes a statement of another host into account; returns whether it is new here.
+    pub fn merge(&mut self, statement: &Statement, now: Instant) -> bool {
+        let known = Known { statement: *statement, confirmed_at: now };
+        match self.known.get_mut(&statement.upstream) {
+            Some(own) if !statement.replaces(&own.statement) => false,
             Some(own) => {
                 *own = known;
                 true
             }
             None => {
-                self.known.insert(word.upstream, known);
+                self.known.insert(statement.upstream, known);
                 true
             }
         }
@@ -170,10 +171,10 @@
 
     /// Forgets upstreams for which `is_running` is false; returns whether there were any.
     ///
-    /// It is called with the upstream and the start that a word is about.
+    /// It is called with the upstream and the start that a statement is about.
     pub fn retain(&mut self, mut is_running: impl FnMut(Tag, u64) -> bool) -> bool {
         let before = self.known.len();
-        self.known.retain(|upstream, known| is_running(*upstream, known.word.started_ms));
+        self.known.retain(|upstream, known| is_running(*upstream, known.statement.started_ms));
         self.known.len() < before
     }
 }
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -2,7 +2,7 @@
 //! a response that says nothing about them.
 
 use damaskhatch_policy::limit::{
-    Ask, Id, Named, Pacer, Seen, Table, Verdict, Word, fraction, holders,
+    Ask, Id, Named, Pacer, Seen, Statement, Table, Verdict, fraction, holders,
 };
 use damaskhatch_policy::prelude::*;
 use proptest::prelude::*;
@@ -10,8 +10,8 @@
 const UPSTREAM: Tag = Tag(7);
 const TICK: Duration = Duration::from_millis(5);
 
-fn word(serial: u32, per_s: Option<f64>) -> Word {
-    Word { upstream: UPSTREAM, started_ms: 1, serial, per_s }
+fn statement(serial: u32, per_s: Option<f64>) -> Statement {
+    Statement { upstream: UPSTREAM, started_ms: 1, serial, per_s }
 }
 
 fn id(serial: u64) -> Id {
@@ -19,7 +19,7 @@
 }
 
 fn ask(per_s: f64, team: u64, priority: u8, patience: Duration) -> Ask {
-    Ask { word: word(1, Some(per_s)), team: Tag(team), priority, patience }
+    Ask { statement: statement(1, Some(per_s)), team: Tag(team), priority, patience }
 }
 
 /// The most grants within any span of this length.
@@ -65,24 +65,24 @@
     /// Guards against two hosts that disagree for ever about which limit is in force.
     #[test]
     fn hosts_that_have_seen_the_same_words_agree(
-        words in prop::collection::vec((0_u32..4, prop::option::of(1_u32..5)), 1..8),
+        statements in prop::collection::vec((0_u32..4, prop::option::of(1_u32..5)), 1..8),
         order in prop::collection::vec(any::<prop::sample::Index>(), 8),
     ) {
         let now = Instant::now();
-        let words: Vec<Word> =
-            words.into_iter().map(|(n, rate)| word(n, rate.map(f64::from))).collect();
+        let statements: Vec<Statement> =
+            statements.into_iter().map(|(n, rate)| statement(n, rate.map(f64::from))).collect();
         let (mut one, mut other) = (Table::default(), Table::default());
-        for word in &words {
-            one.merge(word, now);
+        for statement in &statements {
+            one.merge(statement, now);
         }
-        let mut shuffled = words;
+        let mut shuffled = statements;
         for index in order {
             let at = index.index(shuffled.len());
             shuffled.rotate_left(at);
             other.merge(&shuffled[0], now);
         }
-        for word in &shuffled {
-            other.merge(word, now);
+        for statement in &shuffled {
+            other.merge(statement, now);
         }
         prop_assert_eq!(one.limit(UPSTREAM, 1), other.limit(UPSTREAM, 1));
     }
@@ -180,12 +180,12 @@
     assert_eq!(table.observe(&seen(Named::Limit(9.0), at(5)), at(20)), None);
     let earlier = Seen { started_ms: 0, ..seen(Named::Nothing, at(30)) };
     assert_eq!(table.observe(&earlier, at(40)), None);
-    assert_eq!(table.limit(UPSTREAM, 1).and_then(|word| word.per_s), Some(4.0));
-    let lifted = table.observe(&seen(Named::Nothing, at(30)), at(40)).expect("a new word");
+    assert_eq!(table.limit(UPSTREAM, 1).and_then(|statement| statement.per_s), Some(4.0));
+    let lifted = table.observe(&seen(Named::Nothing, at(30)), at(40)).expect("a new statement");
     assert_eq!((lifted.serial, lifted.per_s), (2, None));
     assert_eq!(table.limit(UPSTREAM, 1), None);
     // A response that is still on its way may be from after the lift.
-    let again = table.observe(&seen(Named::Limit(4.0), at(30)), at(50)).expect("a new word");
+    let again = table.observe(&seen(Named::Limit(4.0), at(30)), at(50)).expect("a new statement");
     assert_eq!((again.serial, again.per_s), (3, Some(4.0)));
     assert_eq!(table.limit(UPSTREAM, 2), None, "a later start has no limit yet");
 }
@@ -205,7 +205,7 @@
     assert!(table.observe(&seen(Named::Limit(4.0), now), now).is_some());
     let bad = seen(Named::Malformed("0".to_owned()), now + TICK);
     assert_eq!(table.observe(&bad, now + TICK), None);
-    assert_eq!(table.limit(UPSTREAM, 1).and_then(|word| word.per_s), Some(4.0));
+    assert_eq!(table.limit(UPSTREAM, 1).and_then(|statement| statement.per_s), Some(4.0));
 }
 
 /// Guards against the sides of a partition that together grant more than the limit.
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -3,7 +3,7 @@
 //! Postcard encodes variants and fields by position, so their order is part of the protocol.
 
 use damaskhatch_policy::config::Head;
-use damaskhatch_policy::limit::{Ask, Verdict as Permission, Word};
+use damaskhatch_policy::limit::{Ask, Statement, Verdict as Permission};
 use damaskhatch_policy::membership::{Count, Record};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::quota::{Charge, Loan, Purpose, Verdict};
@@ -211,7 +211,7 @@
         /// as many as it may; TCP only.
         Busy,
         /// Tells what upstreams have said about the requests a second that they take.
-        Limits(Vec<Word>),
+        Limits(Vec<Statement>),
         /// Asks for the limits that the receiver knows.
         GetLimits,
         /// Asks for one request to a limited upstream.
