--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -198,10 +198,6 @@
             return;
         };
         let open = self.all_recorders();
-        for address in &open {
-            let body = Body::FindStream { serial: self.serial + 1, stream };
-            self.shared.outbox.send(*address, body);
-        }
         // Alone, or cut off, it knows what is saved if it reads it itself.
         let awaits_load =
             open.is_empty() || self.recorders(self.shared.domain).contains(&self.shared.host);
@@ -219,6 +215,9 @@
         let now = Instant::now();
         self.serial += 1;
         let serial = self.serial;
+        for address in &open {
+            self.shared.outbox.send(*address, Body::FindStream { serial, stream });
+        }
         let search = Search { stream, asker, open, awaits_load, asked_at: now, sent_at: now };
         self.searches.insert(serial, search);
         if awaits_load {
