--- a/crates/damaskhatch/src/control/configuration/handlers.rs
+++ b/crates/damaskhatch/src/control/configuration/handlers.rs
@@ -16,9 +16,9 @@
 
     fn handle(&mut self, message: Pull, ctx: &mut Context<Self>) {
         guard(self, ctx, |actor, ctx| {
-            let mut peers = vec![message.0];
-            peers.extend(actor.shared.hosts().peers_ahead(Instant::now(), &mut rand::rng()));
-            actor.pull_from(peers, ctx);
+            let ahead = actor.shared.hosts().peers_ahead(Instant::now(), &mut rand::rng());
+            let others = ahead.into_iter().filter(|peer| *peer != message.0);
+            actor.pull_from(std::iter::once(message.0).chain(others).collect(), ctx);
         });
     }
 }
