Let streams wait for crashed engines of their version while that version serves

Callers who took streams up were refused because the list of engines had dropped the two crashed decode engines of their version 0.3 s before they were back. A stream is now refused at once only if no engine of its version is registered.

--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -175,7 +175,7 @@
     loop {
         let loads = entry.known_loads();
         let engines = decode_engines(entry, routed, &loads, progress);
-        if engines.is_empty() && progress.version.is_some() {
+        if engines.is_empty() && !is_in_service(entry, routed, progress.version) {
             // Engines of other versions cannot go on with what this one began.
             entry.shared.journal.record(&routed.label, format_args!("event=no_engine_of_version"));
             return Err(Refusal::after(Kind::Overloaded, retry_after()));
@@ -231,6 +231,15 @@
     }
 }
 
+/// Whether any engine of the version that a response is bound to is registered and not leaving.
+///
+/// Where there is one, decode engines that have crashed come back with the same version.
+fn is_in_service(entry: &Entry, routed: &Routed, version: Option<Tag>) -> bool {
+    let service = entry.shared.snapshot().services[routed.service].tag;
+    let registry = entry.shared.upstreams();
+    version.is_none_or(|version| registry.usable(service).any(|own| own.software == version))
+}
+
 /// Retry delay for a caller refused for lack of room; random, so that retries do not coincide.
 fn retry_after() -> Duration {
     admission::MIN_RETRY_AFTER + admission::RETRY_AFTER_JITTER.mul_f64(rand::random())
