--- a/crates/damaskhatch/src/control/limits/mod.rs
+++ b/crates/damaskhatch/src/control/limits/mod.rs
@@ -232,9 +232,7 @@
 
     /// Applies the answer to an ask of this host.
     fn settle(&mut self, serial: u64, permission: Verdict, now: Instant) {
-        let Some(waiter) = self.waiters.get_mut(&serial) else {
-            return;
-        };
+        let Some(waiter) = self.waiters.get_mut(&serial) else { return };
         self.silent.remove(&waiter.holder);
         let upstream = waiter.ask.statement.upstream;
         let result = match permission {
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -10,7 +10,7 @@
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::placement::{self, Load};
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry;
+use damaskhatch_policy::registry::{self, Registry};
 
 use super::attempt::{
     Attempt, Complete, Failure, check_admission, may_retry, read_complete, record_failure, send,
@@ -152,7 +152,8 @@
     routed: &Routed,
     tried: &HashSet<Tag>,
 ) -> Result<Option<(registry::Entry, Permit)>, Duration> {
-    let ranked = rank_upstreams(entry, routed, tried);
+    let registry = entry.shared.upstreams();
+    let ranked = rank_upstreams(entry, &registry, routed, tried);
     if ranked.is_empty() {
         return Ok(None);
     }
@@ -165,8 +166,12 @@
 }
 
 /// The usable upstreams that have not been tried, the best first.
-fn rank_upstreams(entry: &Entry, routed: &Routed, tried: &HashSet<Tag>) -> Vec<registry::Entry> {
-    let registry = entry.shared.upstreams();
+fn rank_upstreams<'a>(
+    entry: &Entry,
+    registry: &'a Registry,
+    routed: &Routed,
+    tried: &HashSet<Tag>,
+) -> Vec<&'a registry::Entry> {
     let service = entry.shared.snapshot().services[routed.service].tag;
     let usable: Vec<_> = registry.usable(service).filter(|e| !tried.contains(&e.tag)).collect();
     let now = Instant::now();
@@ -175,8 +180,7 @@
     // An ejected upstream may still respond, so trying it is better than a refusal.
     let pool = if healthy.is_empty() { usable } else { healthy };
     let (loads, domain) = (entry.known_loads(), entry.shared.domain);
-    let ranked = placement::rank_plain(pool.into_iter(), &loads, domain, &mut rand::rng());
-    ranked.into_iter().cloned().collect()
+    placement::rank_plain(pool.into_iter(), &loads, domain, &mut rand::rng())
 }
 
 /// Logs the chosen upstream.
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -188,7 +188,8 @@
             capacity,
             MAX_RESERVATIONS_PER_ROUND,
         );
-        let mut rest: &[registry::Entry] = &engines;
+        let ranked: Vec<&registry::Entry> = engines.iter().collect();
+        let mut rest: &[&registry::Entry] = &ranked;
         let mut asked = 0;
         while asked < fanout {
             let limits = Terms::of(entry, routed, give_up_at);
@@ -300,8 +301,7 @@
                 // What one version exports does not fit another, which then reads the prompt itself.
                 .filter(|e| progress.version.is_none_or(|version| e.software == version));
             let (loads, domain) = (entry.known_loads(), entry.shared.domain);
-            let ranked = placement::rank_prefill(usable, &loads, domain, &mut rand::rng());
-            ranked.into_iter().cloned().collect::<Vec<_>>()
+            placement::rank_prefill(usable, &loads, domain, &mut rand::rng())
         };
         let limits = Terms::of(entry, routed, now);
         let Ok((engine, permit)) = permit::choose_now(entry, &ranked, limits).await else {
--- a/crates/damaskhatch/src/relay/permit.rs
+++ b/crates/damaskhatch/src/relay/permit.rs
@@ -100,14 +100,14 @@
 /// no upstream.
 pub async fn choose_now(
     entry: &Entry,
-    ranked: &[registry::Entry],
+    ranked: &[&registry::Entry],
     terms: Terms,
 ) -> Result<(registry::Entry, Permit), Duration> {
     let terms = Terms { patience: Duration::ZERO, ..terms };
     let mut soonest: Option<Duration> = None;
     for upstream in ranked {
         match acquire(entry, (upstream.tag, upstream.started_ms), terms).await {
-            Ok(permit) => return Ok((upstream.clone(), permit)),
+            Ok(permit) => return Ok(((*upstream).clone(), permit)),
             Err(wait) => soonest = Some(soonest.map_or(wait, |soonest| soonest.min(wait))),
         }
     }
@@ -121,7 +121,7 @@
 /// As [`choose_now`] does.
 pub async fn choose(
     entry: &Entry,
-    ranked: &[registry::Entry],
+    ranked: &[&registry::Entry],
     terms: Terms,
 ) -> Result<(registry::Entry, Permit), Duration> {
     let soonest = match choose_now(entry, ranked, terms).await {
@@ -133,7 +133,7 @@
         return Err(soonest);
     };
     let permit = acquire(entry, (first.tag, first.started_ms), terms).await?;
-    Ok((first.clone(), permit))
+    Ok(((*first).clone(), permit))
 }
 
 /// Logs that the limits of all upstreams of a request are used up.
