Take the streams of a batch out of the unsaved ones while it is written

Found by reading: a host that loses its role as first recorder while a write is in progress drops streams older than 5 s from the unsaved ones, and the end of the write then drained as many as the batch had had, which panics on the control thread if fewer are left. The batch is now taken, and put back if the write fails. No test shows the panic.

--- a/crates/damaskhatch/src/control/lineage/saved.rs
+++ b/crates/damaskhatch/src/control/lineage/saved.rs
@@ -76,14 +76,14 @@
         }
         self.store.is_writing = true;
         let began = Instant::now();
-        let batch: Vec<_> = self.store.unsaved.iter().map(|(_, stream)| *stream).collect();
-        let count = batch.len();
+        let batch = std::mem::take(&mut self.store.unsaved);
+        let streams: Vec<_> = batch.iter().map(|(_, stream)| *stream).collect();
         let State { lease, batches, .. } = &mut self.store;
         *batches += 1;
         let (host, incarnation) = (self.shared.host, self.shared.incarnation);
         let key = format!("{BATCHES_PREFIX}{host}/{incarnation:x}-{batches:x}");
         let lease = lease.filter(|(_, at)| at.elapsed() < LEASE_TIME);
-        let value = serde_json::to_string(&by_version(&batch)).expect("tags are numbers");
+        let value = serde_json::to_string(&by_version(&streams)).expect("tags are numbers");
         let client = self.shared.store();
         let written = async move {
             let (lease, granted_at) = match lease {
@@ -98,13 +98,13 @@
             actor.count_call(written.is_ok());
             let pause = match written {
                 Ok(lease) => {
-                    actor.store.unsaved.drain(..count);
                     actor.store.lease = Some(lease);
                     WRITE_INTERVAL.saturating_sub(began.elapsed())
                 }
                 Err(error) => {
-                    log::info!("event=lineage_not_saved streams={count} error={error}");
+                    log::info!("event=lineage_not_saved streams={} error={error}", streams.len());
                     actor.store.lease = None;
+                    actor.store.unsaved.splice(..0, batch);
                     RETRY_PAUSE
                 }
             };
