--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -5,11 +5,13 @@
 use crate::clock::steady;
 use crate::prelude::*;
 use crate::settings::Settings;
+use damaskhatch_policy::availability::Notice;
 use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
 use damaskhatch_policy::position::Position;
 use damaskhatch_store::message;
 use damaskhatch_wire::prelude::Body;
 use rand::SeedableRng;
+use rand::seq::IteratorRandom;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::watch;
 
@@ -29,6 +31,8 @@
 const REGISTER_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of hosts of a domain that read the store; the others query their peers.
 pub const READERS_PER_DOMAIN: usize = 2;
+/// The number of notices in a datagram, of up to 24 bytes each.
+const NOTICES_PER_DATAGRAM: usize = 40;
 /// The role by which rendezvous hashing selects the hosts that read the store.
 pub const READER_ROLE: &str = "reader";
 
@@ -89,15 +93,52 @@
         own.leaving_upstreams.clone_from(&self.reported_leaving);
         own.leaving_upstreams.extend(&self.listed_leaving);
         let heartbeat = self.view.next_heartbeat(&mut self.rng, now);
+        let notices = self.notices(now);
         for to in heartbeat.to {
             let (records, counts) = (heartbeat.records.clone(), heartbeat.counts.clone());
             self.shared.outbox.send(to, Body::Heartbeat { records, counts });
+            if !notices.is_empty() {
+                self.shared.outbox.send(to, Body::Availability(notices.clone()));
+            }
         }
         let alive = self.view.members().filter(|member| member.is_alive(now)).count();
         self.shared.metrics.hosts_alive.set(alive as i64 + 1);
         self.publish();
     }
 
+    /// Sends what upstreams have newly said to all live hosts; returns what heartbeats repeat.
+    fn notices(&self, now: Instant) -> Vec<Notice> {
+        let mut table = self.shared.availability.lock();
+        if table.is_empty() {
+            return Vec::new();
+        }
+        table.forget_old(now);
+        let untold = table.take_untold(now);
+        let repeated = table.notices(now).sample(&mut rand::rng(), NOTICES_PER_DATAGRAM);
+        drop(table);
+        for notices in untold.chunks(NOTICES_PER_DATAGRAM) {
+            for member in self.view.members().filter(|member| member.is_alive(now)) {
+                let body = Body::Availability(notices.to_vec());
+                self.shared.outbox.send(member.record.address, body);
+            }
+        }
+        repeated
+    }
+
+    /// Takes into account what other hosts have heard from upstreams.
+    fn merge_notices(&self, notices: &[Notice]) {
+        let now = Instant::now();
+        let mut table = self.shared.availability.lock();
+        for notice in notices {
+            if table.merge(notice, now) {
+                let Notice { upstream, started_ms, .. } = notice;
+                log::info!(
+                    "event=upstream_leaving upstream={upstream} started_ms={started_ms} source=peer"
+                );
+            }
+        }
+    }
+
     /// Sends this host's record to all live hosts of its domain, without waiting for heartbeats.
     fn announce(&mut self) {
         let now = Instant::now();
@@ -236,11 +277,13 @@
     type Result = ();
 
     fn handle(&mut self, message: Incoming, ctx: &mut Context<Self>) {
-        guard(self, ctx, |actor, _| {
-            if let Body::Heartbeat { records, counts } = &message.0.body {
+        guard(self, ctx, |actor, _| match &message.0.body {
+            Body::Heartbeat { records, counts } => {
                 actor.view.merge(records, counts, Instant::now());
                 actor.publish();
             }
+            Body::Availability(notices) => actor.merge_notices(notices),
+            _ => {}
         });
     }
 }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -144,10 +144,15 @@
                 roster::Keeper::new(shared, membership, quota)
             })
         };
+        let limits = {
+            let shared = shared.clone();
+            Supervisor::start_in_arbiter(&thread, |_| limits::Limits::new(shared, limits))
+        };
         let scheduling = {
             let (shared, membership) = (shared.clone(), membership.clone());
+            let limits = limits.clone();
             Supervisor::start_in_arbiter(&thread, |_| {
-                scheduling::Scheduling::new(shared, membership)
+                scheduling::Scheduling::new(shared, membership, limits)
             })
         };
         let claims = {
@@ -161,10 +166,6 @@
                 strikes::Strikes::new(shared, scheduling, channels)
             })
         };
-        let limits = {
-            let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| limits::Limits::new(shared, limits))
-        };
         let lineage = shared.deployment.catalogue.map(|_catalogue| {
             let shared = shared.clone();
             Supervisor::start_in_arbiter(&thread, |_| lineage::Lineage::new(shared))
@@ -183,8 +184,8 @@
             })
         });
         if shared.settings.schedule.prefill_percent > 0 {
-            let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| stages::Stages::new(shared));
+            let (shared, limits) = (shared.clone(), limits.clone());
+            Supervisor::start_in_arbiter(&thread, |_| stages::Stages::new(shared, limits));
         }
         Self {
             membership,
@@ -203,7 +204,9 @@
     /// Sends a message to the actor that handles its kind.
     pub fn deliver(&self, arrival: Arrival) {
         match &arrival.body {
-            Body::Heartbeat { .. } => self.membership.do_send(Incoming(arrival)),
+            Body::Heartbeat { .. } | Body::Availability(_) => {
+                self.membership.do_send(Incoming(arrival));
+            }
             Body::Charge(_)
             | Body::Charged { .. }
             | Body::Credit { .. }
--- a/crates/damaskhatch/src/control/scheduling.rs
+++ b/crates/damaskhatch/src/control/scheduling.rs
@@ -6,6 +6,8 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+use damaskhatch_exchange::Head;
+use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::membership::{Headroom, View};
 use damaskhatch_policy::rendezvous;
@@ -17,12 +19,14 @@
 
 use crate::control::Incoming;
 use crate::control::claims::scheduler_role;
+use crate::control::limits::Limits;
 use crate::control::membership::{Membership, SetHeadroom, SetLeaving};
 use crate::peers::Arrival;
 use crate::prelude::*;
 use crate::shared::Shared;
 use crate::supervise::guard;
 use crate::upstream::engine;
+use crate::upstream::statement::{Run, hear};
 
 /// The time between two ticks of the schedulers.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -43,6 +47,7 @@
 pub struct Scheduling {
     shared: Shared,
     membership: Addr<Membership>,
+    limits: Addr<Limits>,
     /// The running schedulers, by service.
     schedulers: HashMap<Tag, Scheduler>,
     /// The address from which each host sent its latest message.
@@ -53,10 +58,11 @@
 
 impl Scheduling {
     /// Creates the actor, which reports headroom and leaving upstreams to `membership`.
-    pub fn new(shared: Shared, membership: Addr<Membership>) -> Self {
+    pub fn new(shared: Shared, membership: Addr<Membership>, limits: Addr<Limits>) -> Self {
         Self {
             shared,
             membership,
+            limits,
             schedulers: HashMap::new(),
             sources: HashMap::new(),
             leaving: HashMap::new(),
@@ -247,14 +253,23 @@
         self.leaving.retain(|tag, _| polled.iter().any(|(upstream, _)| upstream == tag));
         for (tag, address) in polled {
             let is_announced_leaving = leaving.contains(&tag);
-            let read = async move { engine::fetch_load(&address).await };
+            let (shared, limits) = (self.shared.clone(), self.limits.clone());
+            let name = display_name(&snapshot, tag);
+            let read = async move {
+                let (run, sent_at) = (Run { name: &name, tag, started_ms: 0 }, Instant::now());
+                let learn = |head: &Head| {
+                    hear(&shared, &limits, run, sent_at, (head.status, &head.headers));
+                };
+                engine::fetch_load(&address, learn).await
+            };
             ctx.spawn(read.into_actor(self).map(move |load, actor, _ctx| {
                 let Some(mut load) = load else {
                     actor.schedulers.values_mut().for_each(|s| s.mark_unreachable(tag));
                     return;
                 };
                 actor.leaving.insert(tag, load.leaving);
-                load.leaving |= is_announced_leaving;
+                let standing = actor.shared.availability.standing(tag, 0);
+                load.leaving |= is_announced_leaving || standing == Standing::Leaving;
                 for scheduler in actor.schedulers.values_mut() {
                     scheduler.update_load(tag, &load);
                 }
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -6,6 +6,7 @@
 //! requires neither a lease nor a clock shared between hosts. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#stages).
 
+use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::freshness::BootTime;
 use damaskhatch_policy::position::Position;
 use damaskhatch_policy::registry::Entry;
@@ -16,8 +17,9 @@
 use std::collections::HashMap;
 
 use crate::clock::boot_time;
+use crate::control::limits::Limits;
 use crate::prelude::*;
-use crate::relay::attempt::call_at;
+use crate::relay::attempt::call;
 use crate::relay::dialect::Order;
 use crate::shared::Shared;
 use crate::supervise::guard;
@@ -43,6 +45,7 @@
 #[derive(Debug)]
 pub struct Stages {
     shared: Shared,
+    limits: Addr<Limits>,
     /// The debounce of each pool of engines.
     debounces: HashMap<Pool, Debounce>,
     /// `None` until the key is written, and after the claim is lost or a call fails.
@@ -63,8 +66,8 @@
 
 impl Stages {
     /// Creates the actor, without a claim.
-    pub fn new(shared: Shared) -> Self {
-        Self { shared, debounces: HashMap::new(), claim: None, is_order_pending: false }
+    pub fn new(shared: Shared, limits: Addr<Limits>) -> Self {
+        Self { shared, limits, debounces: HashMap::new(), claim: None, is_order_pending: false }
     }
 
     /// Whether this host has the lowest tag of all eligible hosts, which alone issues orders.
@@ -85,7 +88,11 @@
         let registry = self.shared.upstreams();
         let models = snapshot.services.iter().filter(|(_, service)| service.engines.is_some());
         for (_, service) in models {
-            let pools = stages::pools(registry.usable(service.tag));
+            let stays = |engine: &&Entry| {
+                let standing = self.shared.availability.standing(engine.tag, engine.started_ms);
+                standing != Standing::Leaving
+            };
+            let pools = stages::pools(registry.usable(service.tag).filter(stays));
             self.debounces.retain(|(tag, version), _| {
                 *tag != service.tag || pools.is_empty() || pools.contains_key(version)
             });
@@ -98,7 +105,11 @@
                 if !debounce.is_due(change.is_some(), now) {
                     continue;
                 }
-                if let Some(change) = change {
+                let may_ask = |change: &Change| {
+                    let Entry { tag, started_ms, .. } = change.engine;
+                    self.shared.availability.standing(tag, started_ms).allows_requests()
+                };
+                if let Some(change) = change.filter(may_ask) {
                     self.issue_order(pool, change, ctx);
                     return;
                 }
@@ -108,9 +119,10 @@
 
     fn issue_order(&mut self, pool: Pool, change: Change, ctx: &mut Context<Self>) {
         self.is_order_pending = true;
-        let (shared, claim) = (self.shared.clone(), self.claim);
+        let (shared, limits) = (self.shared.clone(), self.limits.clone());
+        let claim = self.claim;
         let engine = change.engine.clone();
-        let outcome = async move { issue_order(&shared, claim, &change).await };
+        let outcome = async move { issue_order(&shared, &limits, claim, &change).await };
         ctx.spawn(outcome.into_actor(self).map(move |outcome, actor, _ctx| {
             actor.is_order_pending = false;
             actor.record_outcome(pool, &engine, outcome);
@@ -145,6 +157,7 @@
 /// Acquires the claim, or issues an order if the claim is usable and still held.
 async fn issue_order(
     shared: &Shared,
+    limits: &Addr<Limits>,
     claim: Option<Claim>,
     change: &Change,
 ) -> Result<Outcome, Error> {
@@ -169,10 +182,8 @@
         return Err(Error::Unreachable(error));
     }
     let order = Order { role: change.role, holder, fence: claim.version };
-    let call = (shared.deployment.dialect.order)(&order);
-    let name = shared.deployment.dialect.headers.instance;
-    let instance = Some((name, change.engine.instance.as_str()));
-    let response = call_at(change.engine.address, instance, call).await;
+    let order = (shared.deployment.dialect.order)(&order);
+    let response = call(shared, limits, &change.engine, order).await;
     Ok(Outcome::Sent(response.map(|(status, _body)| status).map_err(|error| error.to_string())))
 }
 
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -17,10 +17,11 @@
 use super::hold::Charged;
 use super::idempotency;
 use super::openai::{self, Completion, Style};
-use super::place::{HeldBack, acquire, acquire_permits};
+use super::place::{HeldBack, acquire, acquire_permits, find_unavailable};
 use super::refusal::Refusal;
 use super::stream::{Piece, complete_response, events};
 use super::{Entry, read_body};
+use crate::relay::candidates;
 use crate::upstream::engine::Error;
 
 /// The priority of an attempt for a request without a token yet.
@@ -197,7 +198,18 @@
         let id = if attempt == 0 { work.request } else { entry.shared.next_request() };
         let suspect = entry.check_quarantine(work.request, &work.fingerprints, may_have_run)?;
         let progress = Progress { attempt, next: generated.next, suspect };
-        let demand = build_demand(entry, work, id, progress, &avoid);
+        let unavailable = find_unavailable(entry, work.service);
+        if let Some(until) = unavailable.paused_until {
+            let wait = candidates::retry_after(until, Instant::now());
+            entry.shared.journal.record(
+                work.request,
+                format_args!("event=all_paused retry_after_ms={}", wait.as_millis()),
+            );
+            let refusal = Refusal::after(Kind::Overloaded, wait);
+            return Err(refusal.with_may_have_run(may_have_run));
+        }
+        let avoid_now: Vec<Tag> = avoid.iter().chain(&unavailable.engines).copied().collect();
+        let demand = build_demand(entry, work, id, progress, &avoid_now);
         let acquired = acquire(entry, &work.caller, demand).await;
         let mut lease = acquired.map_err(|refusal| refusal.with_may_have_run(may_have_run))?;
         if work.caller.is_withdrawn(&entry.shared.snapshot()) {
--- a/crates/damaskhatch/src/entry/generate.rs
+++ b/crates/damaskhatch/src/entry/generate.rs
@@ -3,16 +3,17 @@
 //! A token stream that breaks or goes silent is resumed at the next token over a new
 //! connection, so that no token is lost or duplicated.
 
-use damaskhatch_exchange::HeaderMap;
+use damaskhatch_exchange::Head;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::schedule::message::Phase;
 
+use super::Entry;
 use super::completion::upstream_name;
 use super::hold::Lease;
-use super::{Entry, Run};
 use crate::relay::permit::Permit;
 use crate::upstream::engine::{self, Error, Tokens};
 use crate::upstream::message::{Decode, Event, Line, Prefill, Resume};
+use crate::upstream::statement::Run;
 
 /// The maximum number of resumptions in one attempt without a new token between them.
 const MAX_RESUMPTIONS: u32 = 3;
@@ -94,10 +95,14 @@
         from: progress.next,
         priority: job.priority,
     };
+    let (engine, sent_at) = (lease.pair.decode, Instant::now());
+    if !job.entry.shared.availability.standing(engine, 0).allows_requests() {
+        // It has asked for a pause or begun to leave since it was chosen. Nothing was sent.
+        return Err(record_failure(lease, engine, Error::Declined, false));
+    }
     lease.needs_decode_cancel = true;
     decode_permit.spend();
-    let (engine, sent_at) = (lease.pair.decode, Instant::now());
-    let learn = |headers: &HeaderMap| learn_limit(job.entry, engine, sent_at, headers);
+    let learn = |head: &Head| hear(job.entry, engine, sent_at, head);
     let opened = engine::decode(&lease.decode_address, &call, learn).await;
     let mut stream = match opened {
         Ok(stream) => stream,
@@ -162,7 +167,7 @@
     };
     lease.needs_prefill_cancel = true;
     let (engine, sent_at) = (lease.pair.prefill, Instant::now());
-    let learn = |headers: &HeaderMap| learn_limit(job.entry, engine, sent_at, headers);
+    let learn = |head: &Head| hear(job.entry, engine, sent_at, head);
     match engine::prefill(&lease.prefill_address, &call, learn).await {
         Ok(prefilled) => Ok(prefilled.kv),
         Err(error) => {
@@ -173,10 +178,11 @@
     }
 }
 
-/// Takes into account what an engine's response says about its limit.
-fn learn_limit(entry: &Entry, engine: Tag, sent_at: Instant, headers: &HeaderMap) {
+/// Takes into account what an engine's response says of the engine.
+pub fn hear(entry: &Entry, engine: Tag, sent_at: Instant, head: &Head) {
     let name = upstream_name(&entry.shared.snapshot(), engine);
-    entry.observe_limit(Run { name: &name, tag: engine, started_ms: 0 }, sent_at, headers);
+    let run = Run { name: &name, tag: engine, started_ms: 0 };
+    entry.hear(run, sent_at, (head.status, &head.headers));
 }
 
 /// Resumes the stream over a new connection after `error`.
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -19,23 +19,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use actix_web::{HttpRequest, HttpResponse, web};
-use damaskhatch_exchange::{Framing, HeaderMap};
+use damaskhatch_exchange::{Framing, HeaderMap, StatusCode};
+use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::backlog::Backlog;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::length::Forecast;
-use damaskhatch_policy::limit::{Named, Seen};
 use damaskhatch_policy::outlier::Outliers;
 use damaskhatch_policy::placement::Loads;
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry;
 use damaskhatch_policy::retry::{self, Budget};
 use damaskhatch_policy::strike::{Fingerprints, Quarantine, Strike};
 use serde_json::json;
 
 use crate::control::Control;
-use crate::control::limits::Observe;
 use crate::control::strikes::{Record, Served};
 use crate::shared::Shared;
+use crate::upstream::statement::{self, Run};
 use hold::InFlight;
 use openai::Style;
 use refusal::Refusal;
@@ -59,23 +58,6 @@
     pub responses: idempotency::Responses,
 }
 
-/// One run of an upstream, between a start of its process and its end.
-#[derive(Debug, Clone, Copy)]
-pub struct Run<'a> {
-    /// The upstream's name.
-    pub name: &'a str,
-    /// The tag of the name.
-    pub tag: Tag,
-    /// The start, in milliseconds since the Unix epoch; 0 if it is unknown.
-    pub started_ms: u64,
-}
-
-impl<'a> From<&'a registry::Entry> for Run<'a> {
-    fn from(entry: &'a registry::Entry) -> Self {
-        Self { name: &entry.instance, tag: entry.tag, started_ms: entry.started_ms }
-    }
-}
-
 /// A host's retry budget and statistics for a routed service, mostly from its responses.
 #[derive(Debug)]
 pub struct Learned {
@@ -191,17 +173,14 @@
         }
     }
 
-    /// Takes into account what a response says about the limit of its upstream.
-    pub fn observe_limit(&self, upstream: Run<'_>, sent_at: Instant, headers: &HeaderMap) {
-        let header = self.header_names().limit;
-        let named = headers.get_all(header).iter().map(|value| value.to_str().unwrap_or("?"));
-        let named = Named::parse(named);
-        let Run { name, tag, started_ms } = upstream;
-        if named == Named::Nothing && !self.shared.known_limits().is_limited(tag) {
-            return;
-        }
-        let seen = Seen { upstream: tag, started_ms, sent_at, named };
-        self.control.limits.do_send(Observe { seen, name: name.to_owned() });
+    /// Takes into account what a response says of its upstream, and returns that.
+    pub fn hear(
+        &self,
+        run: Run<'_>,
+        sent_at: Instant,
+        response: (StatusCode, &HeaderMap),
+    ) -> Statement {
+        statement::hear(&self.shared, &self.control.limits, run, sent_at, response)
     }
 
     /// Counts the end of a response's body.
--- a/crates/damaskhatch/src/entry/place.rs
+++ b/crates/damaskhatch/src/entry/place.rs
@@ -1,6 +1,8 @@
 //! Obtains a pair of engines for a request: from a scheduler or, if none replies, by a
 //! choice of this host alone.
 
+use damaskhatch_exchange::Head;
+use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::config::{Snapshot, UpstreamEntry};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::route::{self, Candidate, LOAD_SAMPLES, Pair};
@@ -12,9 +14,11 @@
 
 use super::Entry;
 use super::access::Caller;
+use super::generate;
 use super::hold::{Lease, Place};
 use super::refusal::Refusal;
 use crate::control::claims::{Acquire, Hold, Outcome};
+use crate::relay::candidates;
 use crate::relay::permit::{self, Permit, Terms};
 use crate::upstream::engine;
 
@@ -130,9 +134,13 @@
 /// scheduler counts it once it replies again.
 async fn choose_fallback(entry: &Entry, demand: &Demand) -> Result<Pair, Refusal> {
     let snapshot = entry.shared.snapshot();
-    let engines = sample_engines(&snapshot, entry.shared.domain, demand);
+    let mut engines = sample_engines(&snapshot, entry.shared.domain, demand);
+    engines.retain(|engine| entry.shared.availability.standing(engine.tag, 0).allows_requests());
     let reads = engines.iter().map(async |engine| {
-        let load = engine::fetch_load(&engine.address).await.filter(|load| !load.leaving)?;
+        let sent_at = Instant::now();
+        let learn = |head: &Head| generate::hear(entry, engine.tag, sent_at, head);
+        let load = engine::fetch_load(&engine.address, learn).await;
+        let load = load.filter(|load| !load.leaving)?;
         Some(Candidate {
             upstream: engine.tag,
             role: engine.role,
@@ -192,7 +200,43 @@
     sampled
 }
 
-/// An engine whose limit is used up, and when a request may come back.
+/// The engines of a service that this host may not send requests to.
+#[derive(Debug)]
+pub struct Unavailable {
+    /// The engines.
+    pub engines: Vec<Tag>,
+    /// When the first one may be asked, if all those of a phase have asked for a pause.
+    pub paused_until: Option<Instant>,
+}
+
+/// Finds the engines of a service that have said that they leave or want a pause.
+pub fn find_unavailable(entry: &Entry, service: Tag) -> Unavailable {
+    let (snapshot, now) = (entry.shared.snapshot(), Instant::now());
+    let table = entry.shared.availability.lock();
+    let mut unavailable = Unavailable { engines: Vec::new(), paused_until: None };
+    let Some(service) = snapshot.service(service) else { return unavailable };
+    for role in [Role::Prefill, Role::Decode] {
+        let engines = snapshot.services[service].upstreams.iter().map(|u| &snapshot.upstreams[*u]);
+        let engines = engines.filter(|engine| engine.role == role || engine.role == Role::Both);
+        let (mut soonest, mut is_any_available) = (None::<Instant>, false);
+        for engine in engines {
+            let standing = table.standing(engine.tag, 0, now);
+            is_any_available |= standing.allows_requests();
+            if let Standing::Paused(until) = standing {
+                soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
+            }
+            if !standing.allows_requests() && !unavailable.engines.contains(&engine.tag) {
+                unavailable.engines.push(engine.tag);
+            }
+        }
+        if !is_any_available {
+            unavailable.paused_until = unavailable.paused_until.max(soonest);
+        }
+    }
+    unavailable
+}
+
+/// An engine whose limit is used up, or that has asked for a pause or is leaving, and when a request may come back.
 #[derive(Debug)]
 pub struct HeldBack {
     /// The engine.
@@ -209,6 +253,14 @@
 ) -> Result<[Permit; 2], HeldBack> {
     let terms = Terms { team, priority: 0, patience: PERMIT_PATIENCE };
     let acquire = async |engine| {
+        let retry_after = match entry.shared.availability.standing(engine, 0) {
+            Standing::Paused(until) => Some(candidates::retry_after(until, Instant::now())),
+            Standing::Leaving => Some(Duration::ZERO),
+            Standing::Available | Standing::Discouraged => None,
+        };
+        if let Some(retry_after) = retry_after {
+            return Err(HeldBack { engine, retry_after });
+        }
         let acquired = permit::acquire(entry, (engine, 0), terms).await;
         acquired.map_err(|retry_after| HeldBack { engine, retry_after })
     };
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -9,7 +9,8 @@
 use actix_web::http::Method;
 use actix_web::http::header::HeaderMap as CallerHeaders;
 use actix_web::{HttpRequest, HttpResponse, web};
-use damaskhatch_exchange::HeaderMap;
+use damaskhatch_exchange::{Head, HeaderMap};
+use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
@@ -26,11 +27,13 @@
 use super::idempotency::{self, Response};
 use super::openai::estimate_tokens;
 use super::refusal::Refusal;
-use super::{Entry, Run, read_body};
+use super::{Entry, read_body};
 use crate::headers;
+use crate::relay::candidates;
 use crate::relay::permit::{self, Permit, Terms};
 use crate::upstream::engine::Error;
 use crate::upstream::plain;
+use crate::upstream::statement::Run;
 
 /// How long a call waits for a permit if all upstreams have used up their limits.
 const PERMIT_PATIENCE: Duration = Duration::from_millis(250);
@@ -193,7 +196,9 @@
         permit.spend();
         let name = upstream_name(&snapshot, upstream);
         let run = Run { name: &name, tag: upstream, started_ms: 0 };
-        let learn = |headers: &HeaderMap| entry.observe_limit(run, sent_at, headers);
+        let learn = |head: &Head| {
+            entry.hear(run, sent_at, (head.status, &head.headers));
+        };
         let called = plain::call(&address, &work.call, work.request, is_leaving, learn).await;
         let error = match called {
             Ok((response, verdict)) => {
@@ -260,7 +265,10 @@
         held_back.insert(chosen);
     }
     let (Some((chosen, reason)), Some(soonest)) = (first, soonest) else {
-        return Err(Kind::NoUpstream.into());
+        let refusal = first_pause(entry, snapshot, work, avoid).map(|until| {
+            Refusal::after(Kind::Overloaded, candidates::retry_after(until, Instant::now()))
+        });
+        return Err(refusal.unwrap_or(Kind::NoUpstream.into()));
     };
     let terms = Terms { patience: PERMIT_PATIENCE, ..terms };
     match permit::acquire(entry, (chosen, 0), terms).await {
@@ -288,9 +296,10 @@
 ) -> Option<Pool> {
     let leaving = entry.shared.hosts().leaving_upstreams(Instant::now());
     let listed = snapshot.services[work.service].upstreams.iter();
-    let usable = listed
-        .map(|upstream| &snapshot.upstreams[*upstream])
-        .filter(|item| !leaving.contains(&item.tag) && !avoid.contains(&item.tag));
+    let available = |tag| entry.shared.availability.standing(tag, 0).allows_requests();
+    let usable = listed.map(|upstream| &snapshot.upstreams[*upstream]).filter(|item| {
+        !leaving.contains(&item.tag) && !avoid.contains(&item.tag) && available(item.tag)
+    });
     let (local, remote): (Vec<_>, Vec<_>) =
         usable.partition(|item| item.domain == entry.shared.domain);
     let (pool, reason) =
@@ -299,6 +308,24 @@
     (!upstreams.is_empty()).then_some(Pool { upstreams, reason })
 }
 
+/// When the first of the upstreams that have asked for a pause may be asked again.
+fn first_pause(
+    entry: &Entry,
+    snapshot: &Snapshot,
+    work: &Work,
+    avoid: &HashSet<Tag>,
+) -> Option<Instant> {
+    let listed = snapshot.services[work.service].upstreams.iter();
+    let tags = listed.map(|upstream| snapshot.upstreams[*upstream].tag);
+    let pauses = tags.filter(|tag| !avoid.contains(tag)).filter_map(|tag| {
+        match entry.shared.availability.standing(tag, 0) {
+            Standing::Paused(until) => Some(until),
+            _ => None,
+        }
+    });
+    pauses.min()
+}
+
 /// Logs the chosen upstream.
 fn log_route(
     entry: &Entry,
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -33,6 +33,7 @@
 use crate::relay::{self, load::Loads};
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::upstream::statement::Availability;
 
 /// How long a draining host waits for other hosts to take over its bucket slots.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -71,6 +72,7 @@
         freshness: freshness_seen,
         strikes: strikes_seen,
         limits: limits_seen,
+        availability: Availability::default(),
         loads: Loads::default(),
         resuming: Loads::default(),
         era: era::Tracker::default(),
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -45,6 +45,10 @@
     pub limits: GaugeVec,
     /// Requests of this host to limited upstreams, by upstream and by whether one was permitted.
     pub limited: IntCounterVec,
+    /// What upstreams newly said of themselves to this host, by kind.
+    pub statements: IntCounterVec,
+    /// Choices for which upstreams were left out, by reason.
+    pub left_out: IntCounterVec,
     /// Pairs of engines that this host chose itself, without a scheduler.
     pub fallbacks: IntCounter,
     /// Cancellations that an engine has not confirmed yet.
@@ -111,6 +115,13 @@
                 "Requests to limited upstreams.",
                 &["upstream", "result"],
             ),
+            statements: counters(
+                r,
+                "upstream_statements_total",
+                "New statements of upstreams.",
+                &["kind"],
+            ),
+            left_out: counters(r, "left_out_total", "Choices without some upstreams.", &["reason"]),
             fallbacks: counter(r, "fallbacks_total", "Pairs chosen without a scheduler."),
             cancels_open: gauge(r, "cancels_open", "Cancellations not confirmed yet."),
             frames_dropped: counters(r, "frames_dropped_total", "Frames dropped.", &["reason"]),
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -290,7 +290,7 @@
 /// The kind of a message as a metric label.
 const fn kind(body: &Body) -> &'static str {
     match body {
-        Body::Heartbeat { .. } => "heartbeat",
+        Body::Heartbeat { .. } | Body::Availability(_) => "heartbeat",
         Body::Charge(_) | Body::Charged { .. } | Body::Credit { .. } => "charge",
         Body::Borrow { .. } | Body::Lend { .. } | Body::Repay { .. } => "loan",
         Body::Enqueue(_) | Body::Queued(_) | Body::Redirect { .. } => "enqueue",
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -2,13 +2,16 @@
 
 use std::net::SocketAddr;
 
+use actix::Addr;
 use bytes::Bytes;
 use damaskhatch_exchange::{self as exchange, Framing, Head, Response};
 use damaskhatch_policy::attempt::{History, Outcome};
+use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
+use crate::control::limits::Limits;
 use crate::entry::Entry;
 use crate::entry::access::identify;
 use crate::entry::refusal::Refusal;
@@ -17,7 +20,9 @@
 use crate::relay::dialect::Call;
 use crate::relay::permit::Permit;
 use crate::relay::request::Routed;
+use crate::shared::Shared;
 use crate::upstream::events;
+use crate::upstream::statement::hear;
 
 /// Time limit for opening a connection to an upstream.
 ///
@@ -59,7 +64,7 @@
 
 /// Sends a request with additional headers to an upstream and waits for the response's head.
 ///
-/// Also learns from the response which limit the upstream has.
+/// Also returns what the upstream says of itself.
 ///
 /// # Errors
 ///
@@ -71,7 +76,7 @@
     upstream: &registry::Entry,
     permit: Permit,
     extra: &[(&'static str, String)],
-) -> Result<Response, Failure> {
+) -> Result<(Response, Statement), Failure> {
     let names = &entry.shared.deployment.dialect.headers;
     let mut headers = routed.headers.clone();
     let deadline = routed.remaining_ms(Instant::now()).to_string();
@@ -97,14 +102,16 @@
         Ok(sent) => sent.map_err(|error| Failure::from_exchange(&error))?,
         Err(_elapsed) => return Err(Failure::timed_out()),
     };
-    check_response(entry, routed, &response).inspect_err(|failure| {
-        // A response that declines also tells the upstream's limit, if it is from this upstream.
-        if failure.outcome == Outcome::NotRun && !failure.is_upstream_at_fault {
-            entry.observe_limit(upstream.into(), sent_at, &response.head.headers);
-        }
-    })?;
-    entry.observe_limit(upstream.into(), sent_at, &response.head.headers);
-    Ok(response)
+    let checked = check_response(entry, routed, &response);
+    // A response that declines also says how the upstream is, if it is from this upstream.
+    if let Err(failure) = &checked
+        && failure.is_upstream_at_fault
+    {
+        return Err(failure.clone());
+    }
+    let Head { status, headers, .. } = &response.head;
+    let statement = entry.hear(upstream.into(), sent_at, (*status, headers));
+    checked.map(|()| (response, statement))
 }
 
 /// A response whose body has been read to its end.
@@ -256,41 +263,45 @@
 const MISDIRECTED_REQUEST: u16 = 421;
 
 /// Sends a control call to a registered upstream and returns the response's status and body.
+///
+/// Also learns from the response what the upstream says of itself.
 pub async fn call(
-    entry: &Entry,
+    shared: &Shared,
+    limits: &Addr<Limits>,
     upstream: &registry::Entry,
     call: Call,
 ) -> Result<(u16, Bytes), exchange::Error> {
-    let names = &entry.shared.deployment.dialect.headers;
-    let instance = Some((names.instance, upstream.instance.as_str()));
-    call_at(upstream.address, instance, call).await
+    let names = &shared.deployment.dialect.headers;
+    // By which the receiver can check that the call is meant for it.
+    let instance = (names.instance, upstream.instance.as_str());
+    let sent_at = Instant::now();
+    let (head, body) = exchange_call(upstream.address, instance, call).await?;
+    let status = head.status.as_u16();
+    if status != MISDIRECTED_REQUEST {
+        hear(shared, limits, upstream.into(), sent_at, (head.status, &head.headers));
+    }
+    Ok((status, body))
 }
 
-/// Sends a control call to an address and returns the response's status and body.
-///
-/// `instance` is a header's name and value by which the receiver can check that the
-/// call is meant for it.
-pub async fn call_at(
+async fn exchange_call(
     address: SocketAddr,
-    instance: Option<(&str, &str)>,
+    (name, value): (&str, &str),
     call: Call,
-) -> Result<(u16, Bytes), exchange::Error> {
+) -> Result<(Head, Bytes), exchange::Error> {
     let mut request = exchange::Request::builder()
         .method(call.method)
         .uri(call.target)
-        .header("host", address.to_string());
+        .header("host", address.to_string())
+        .header(name, value);
     if !call.body.is_empty() {
         request = request.header("content-type", "application/json");
     }
-    if let Some((name, value)) = instance {
-        request = request.header(name, value);
-    }
     let request =
         request.body(call.body).map_err(|error| exchange::Error::Unsent(error.to_string()))?;
     let called = tokio::time::timeout(CALL_TIMEOUT, async {
         let mut response = exchange::send(address, CONNECT_TIMEOUT, request).await?;
         let body = response.read_body(MAX_CALL_RESPONSE_BYTES).await?;
-        Ok((response.head.status.as_u16(), body))
+        Ok((response.head, body))
     });
     called.await.unwrap_or_else(|_elapsed| {
         Err(exchange::Error::Broken(format!("no response within {CALL_TIMEOUT:?}")))
--- /dev/null
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -0,0 +1,102 @@
+//! The upstreams that a request may be sent to, by what the upstreams have said of themselves.
+
+use std::fmt;
+
+use damaskhatch_policy::availability::{Standing, Table};
+use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::registry;
+
+use crate::entry::Entry;
+
+/// The most that is added at random to the time after which a caller may come back whose upstreams
+/// have all asked for a pause, as a fraction of what is left of the first pause.
+const SPREAD_FRACTION: f64 = 0.5;
+/// The same for a short pause.
+const MIN_SPREAD: Duration = Duration::from_secs(1);
+
+/// The suitable upstreams of a service, without those that may not be sent requests.
+#[derive(Debug)]
+pub struct Candidates<'a> {
+    /// Those that may be sent a request now. Upstreams that have asked another host for a pause are
+    /// among them only if there are no others.
+    pub entries: Vec<&'a registry::Entry>,
+    /// When the first of the pauses ends, if all suitable upstreams are paused.
+    pub paused_until: Option<Instant>,
+    leaving: Vec<&'a str>,
+    paused: Vec<&'a str>,
+}
+
+impl<'a> Candidates<'a> {
+    /// Divides suitable upstreams by their standing.
+    fn divide(
+        suitable: impl Iterator<Item = &'a registry::Entry>,
+        table: &Table,
+        now: Instant,
+    ) -> Self {
+        let (mut available, mut discouraged) = (Vec::new(), Vec::new());
+        let (mut leaving, mut paused) = (Vec::new(), Vec::new());
+        let mut soonest: Option<Instant> = None;
+        for entry in suitable {
+            match table.standing(entry.tag, entry.started_ms, now) {
+                Standing::Available => available.push(entry),
+                Standing::Discouraged => discouraged.push(entry),
+                Standing::Leaving => leaving.push(entry.instance.as_str()),
+                Standing::Paused(until) => {
+                    paused.push(entry.instance.as_str());
+                    soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
+                }
+            }
+        }
+        let entries = if available.is_empty() { discouraged } else { available };
+        let paused_until = soonest.filter(|_| entries.is_empty());
+        Self { entries, paused_until, leaving, paused }
+    }
+
+    /// Logs and counts which upstreams were left out of a choice.
+    pub fn record(&self, entry: &Entry, label: impl fmt::Display) {
+        if self.leaving.is_empty() && self.paused.is_empty() {
+            return;
+        }
+        for (names, reason) in [(&self.leaving, "leaving"), (&self.paused, "paused")] {
+            if !names.is_empty() {
+                entry.shared.metrics.left_out.with_label_values(&[reason]).inc();
+            }
+        }
+        entry.shared.journal.record(
+            label,
+            format_args!(
+                "event=left_out leaving={} paused={} remaining={}",
+                self.leaving.join(","),
+                self.paused.join(","),
+                self.entries.len()
+            ),
+        );
+    }
+}
+
+impl Entry {
+    /// The upstreams of a service that a request may be sent to, of those that suit it.
+    pub fn candidates<'a>(
+        &self,
+        registry: &'a registry::Registry,
+        service: Tag,
+        suits: impl Fn(&registry::Entry) -> bool,
+    ) -> Candidates<'a> {
+        let suitable = registry.usable(service).filter(|entry| suits(entry));
+        Candidates::divide(suitable, &self.shared.availability.lock(), Instant::now())
+    }
+
+    /// Whether a request may be sent to an upstream that was chosen some time ago.
+    pub fn may_ask(&self, upstream: &registry::Entry) -> bool {
+        let standing = self.shared.availability.standing(upstream.tag, upstream.started_ms);
+        standing.allows_requests()
+    }
+}
+
+/// When a caller may come back whose upstreams are all paused until `until` at least.
+///
+/// It is random, so that callers do not all come back as the pause ends.
+pub fn retry_after(until: Instant, now: Instant) -> Duration {
+    let left = until.saturating_duration_since(now);
+    left + left.mul_f64(SPREAD_FRACTION).max(MIN_SPREAD).mul_f64(rand::random())
+}
--- a/crates/damaskhatch/src/relay/dialect.rs
+++ b/crates/damaskhatch/src/relay/dialect.rs
@@ -78,6 +78,8 @@
     pub load: &'static str,
     /// On responses: the requests a second that the upstream takes from all hosts together.
     pub limit: &'static str,
+    /// On responses: `1` if the upstream is leaving and takes no new requests.
+    pub leaving: &'static str,
     /// Further headers that are dropped from callers' requests.
     pub reserved: &'static [&'static str],
 }
@@ -127,6 +129,7 @@
             not_run: "x-damaskhatch-not-run",
             load: "x-damaskhatch-load",
             limit: "x-damaskhatch-limit",
+            leaving: "x-damaskhatch-leaving",
             reserved: &[],
         },
         key_scheme: "Bearer",
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -3,18 +3,18 @@
 use std::collections::HashSet;
 
 use actix_web::HttpResponse;
-use damaskhatch_exchange::Head;
 use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
-use damaskhatch_policy::backlog::Report;
+use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::placement::{self, Load};
 use damaskhatch_policy::prelude::*;
-use damaskhatch_policy::registry::{self, Registry};
+use damaskhatch_policy::registry;
 
 use super::attempt::{
     Attempt, Complete, Failure, check_admission, may_retry, read_complete, record_failure, send,
 };
+use super::candidates;
 use super::permit::{self, Permit, Terms};
 use super::request::Routed;
 use super::response::build_response;
@@ -36,7 +36,7 @@
     let mut failed: Option<Complete> = None;
     entry.earn_service_retry(routed.service);
     check_backlog(entry, &routed)?;
-    // When the request may come back if the limits of all upstreams are used up.
+    // When the request may come back if no upstream may get it before.
     let mut held_back = None;
     while history.attempts == 0 || may_retry(&routed, history) {
         let (upstream, permit) = match choose_upstream(entry, &routed, &tried).await {
@@ -126,15 +126,16 @@
     attempt: Attempt<'_>,
     permit: Permit,
 ) -> Result<Complete, Failure> {
-    let response = send(entry, routed, attempt.upstream, permit, &[]).await?;
-    observe_load(entry, routed, &response.head, attempt.sent_at);
+    let (response, statement) = send(entry, routed, attempt.upstream, permit, &[]).await?;
+    if response.head.status.is_success() {
+        observe_load(entry, routed, &statement, attempt.sent_at);
+    }
     read_complete(entry, routed, attempt, response, MAX_RESPONSE_BYTES).await
 }
 
 /// Updates the service's backlog with the load that an upstream reports in a response.
-fn observe_load(entry: &Entry, routed: &Routed, head: &Head, sent: Instant) {
-    let reported = head.headers.get(entry.header_names().load).and_then(|load| load.to_str().ok());
-    if let Some(load) = reported.and_then(Report::parse).filter(|_| head.status.is_success()) {
+fn observe_load(entry: &Entry, routed: &Routed, statement: &Statement, sent: Instant) {
+    if let Some(load) = statement.load {
         let now = Instant::now();
         let took = now.saturating_duration_since(sent);
         entry.with_learned(routed.service, |learned| learned.backlog.observe(load, took, now));
@@ -146,14 +147,21 @@
 ///
 /// # Errors
 ///
-/// Returns when the request may come back, if the limits of all upstreams are used up.
+/// Returns when the request may come back, if the limits of all upstreams are used up or all have
+/// asked for a pause.
 async fn choose_upstream(
     entry: &Entry,
     routed: &Routed,
     tried: &HashSet<Tag>,
 ) -> Result<Option<(registry::Entry, Permit)>, Duration> {
     let registry = entry.shared.upstreams();
-    let ranked = rank_upstreams(entry, &registry, routed, tried);
+    let service = entry.shared.snapshot().services[routed.service].tag;
+    let candidates = entry.candidates(&registry, service, |other| !tried.contains(&other.tag));
+    candidates.record(entry, &routed.label);
+    if let Some(until) = candidates.paused_until {
+        return Err(candidates::retry_after(until, Instant::now()));
+    }
+    let ranked = rank_upstreams(entry, candidates.entries);
     if ranked.is_empty() {
         return Ok(None);
     }
@@ -165,15 +173,8 @@
     })
 }
 
-/// The usable upstreams that have not been tried, the best first.
-fn rank_upstreams<'a>(
-    entry: &Entry,
-    registry: &'a Registry,
-    routed: &Routed,
-    tried: &HashSet<Tag>,
-) -> Vec<&'a registry::Entry> {
-    let service = entry.shared.snapshot().services[routed.service].tag;
-    let usable: Vec<_> = registry.usable(service).filter(|e| !tried.contains(&e.tag)).collect();
+/// The upstreams that a request may be sent to, the best first.
+fn rank_upstreams<'a>(entry: &Entry, usable: Vec<&'a registry::Entry>) -> Vec<&'a registry::Entry> {
     let now = Instant::now();
     let healthy: Vec<_> =
         usable.iter().copied().filter(|e| !entry.outliers().is_ejected(e.tag, now)).collect();
--- a/crates/damaskhatch/src/relay/held.rs
+++ b/crates/damaskhatch/src/relay/held.rs
@@ -1,14 +1,14 @@
 //! The resources that a request holds at engines, released on drop however the request ends.
 
-use std::net::SocketAddr;
-
+use bytes::Bytes;
+use damaskhatch_exchange as exchange;
 use damaskhatch_policy::admission::Need;
 use damaskhatch_policy::placement::Load;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 use damaskhatch_policy::sheet::EngineTerms;
 
-use super::attempt::{call, call_at};
+use super::attempt;
 use super::dialect::Call;
 use super::load::Guard;
 use super::request::Routed;
@@ -43,7 +43,7 @@
         let grant = async {
             if headroom > 0 {
                 let trial = Hold::acquire(entry, engine, terms, memory + headroom).await?;
-                trial.release(engine).await?;
+                trial.release().await?;
             }
             Hold::acquire(entry, engine, terms, memory).await
         };
@@ -75,7 +75,7 @@
 #[derive(Debug)]
 struct Hold {
     name: String,
-    address: SocketAddr,
+    engine: registry::Entry,
     /// Whether it needs no release: the engine has released it, or a request may have used it.
     is_settled: bool,
     entry: Entry,
@@ -91,7 +91,8 @@
     ) -> Result<Self, String> {
         let dialect = entry.shared.deployment.dialect;
         let ttl = Duration::from_millis(u64::from(terms.reservation_ms));
-        let (status, body) = match call(entry, engine, (dialect.reserve)(memory, ttl)).await {
+        let (status, body) = match call_engine(entry, engine, (dialect.reserve)(memory, ttl)).await
+        {
             Ok(response) => response,
             Err(error) => {
                 entry.outliers().record_failure(engine.tag, Instant::now());
@@ -100,13 +101,13 @@
         };
         let name = (dialect.decode_reservation)(&body).filter(|_| (200..300).contains(&status));
         let name = name.ok_or_else(|| format!("status {status}"))?;
-        Ok(Self { name, address: engine.address, is_settled: false, entry: entry.clone() })
+        Ok(Self { name, engine: engine.clone(), is_settled: false, entry: entry.clone() })
     }
 
     /// Releases the reservation and waits for the engine's response.
-    async fn release(mut self, engine: &registry::Entry) -> Result<(), String> {
+    async fn release(mut self) -> Result<(), String> {
         let release = (self.entry.shared.deployment.dialect.release)(&self.name);
-        let called = call(&self.entry, engine, release).await;
+        let called = call_engine(&self.entry, &self.engine, release).await;
         self.is_settled = called.is_ok();
         called.map(|_response| ()).map_err(|error| error.to_string())
     }
@@ -116,7 +117,7 @@
     fn drop(&mut self) {
         if !self.is_settled {
             let release = (self.entry.shared.deployment.dialect.release)(&self.name);
-            release_in_background(self.address, release, "reservation");
+            release_in_background(&self.entry, &self.engine, release, "reservation");
         }
     }
 }
@@ -148,16 +149,31 @@
     fn drop(&mut self) {
         if !self.is_used {
             let release = (self.entry.shared.deployment.dialect.free_export)(&self.handle);
-            release_in_background(self.engine.address, release, "export");
+            release_in_background(&self.entry, &self.engine, release, "export");
         }
     }
 }
 
 /// Sends a release in the background; if it fails, the engine frees the resource at its TTL.
-fn release_in_background(address: SocketAddr, release: Call, what: &'static str) {
+fn release_in_background(
+    entry: &Entry,
+    engine: &registry::Entry,
+    release: Call,
+    what: &'static str,
+) {
+    let (entry, engine) = (entry.clone(), engine.clone());
     actix_rt::spawn(async move {
-        if let Err(error) = call_at(address, None, release).await {
-            log::info!("event=not_given_back what={what} upstream={address} error={error}");
+        if let Err(error) = call_engine(&entry, &engine, release).await {
+            let upstream = &engine.instance;
+            log::info!("event=not_given_back what={what} upstream={upstream} error={error}");
         }
     });
 }
+
+async fn call_engine(
+    entry: &Entry,
+    engine: &registry::Entry,
+    call: Call,
+) -> Result<(u16, Bytes), exchange::Error> {
+    attempt::call(&entry.shared, &entry.control.limits, engine, call).await
+}
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! [`crate::entry::body`]), so that a truncated response never looks complete.
 
 pub mod attempt;
+pub mod candidates;
 pub mod crash;
 pub mod dialect;
 pub mod forward;
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -13,12 +13,14 @@
 use damaskhatch_exchange::Response;
 use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
+use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::placement::{self, Load, Loads};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 use damaskhatch_policy::sheet::{EngineTerms, Role};
 
 use super::attempt::{Attempt, Failure, check_admission, record_failure, send, try_acquire_retry};
+use super::candidates::{self, Candidates};
 use super::held::{Export, Reservation};
 use super::permit::{self, Permit, Terms};
 use super::request::{Routed, Tokens};
@@ -94,6 +96,7 @@
     if let Some(last) = progress.last_event {
         headers::set(&mut routed.headers, entry.header_names().last_event, &last.to_string());
     }
+    let mut export = None;
     loop {
         check_admission(entry, routed, progress.history)?;
         let reserved = reserve(entry, routed, terms, progress).await;
@@ -105,7 +108,20 @@
         if progress.version.is_none() {
             pin_version(entry, routed, progress, &reservation.upstream);
         }
-        let export = prefill(entry, routed, progress).await?;
+        if export.is_none() {
+            export = prefill(entry, routed, progress).await?;
+        }
+        if !entry.may_ask(&reservation.upstream) {
+            // It has asked for a pause or begun to leave since it was chosen. Nothing was sent.
+            entry.shared.journal.record(
+                &routed.label,
+                format_args!(
+                    "event=reservation_dropped upstream={}",
+                    reservation.upstream.instance
+                ),
+            );
+            continue;
+        }
         check_admission(entry, routed, progress.history)?;
         let mut extra = vec![
             (entry.header_names().reservation, reservation.name().to_owned()),
@@ -119,12 +135,13 @@
         routed.keep_charge();
         let sent_at = Instant::now();
         let sent = send(entry, routed, &reservation.upstream, permit, &extra).await;
-        let sent =
-            sent.and_then(|response| check_version(entry, routed, &reservation.upstream, response));
+        let sent = sent.and_then(|(response, _statement)| {
+            check_version(entry, routed, &reservation.upstream, response)
+        });
         let failure = match sent {
             Ok(response) => {
                 progress.history.record(Outcome::Ran);
-                if let Some(mut export) = export {
+                if let Some(export) = &mut export {
                     export.is_used = true;
                 }
                 let event_tokens = terms.event_tokens;
@@ -132,6 +149,8 @@
             }
             Err(failure) => failure,
         };
+        // The engine may have fetched it.
+        export = None;
         progress.history.record(failure.outcome);
         let (upstream, history) = (&reservation.upstream, progress.history);
         let attempt = Attempt { upstream, sent_at, phase: "decode", history };
@@ -172,9 +191,16 @@
     // For a resumed stream the target applies to the pause, not to the time since the request.
     let since = progress.last_event.map_or(routed.arrived_at, |_| Instant::now());
     let give_up_at = (since + patience).min(routed.limit);
+    let mut is_first = true;
     loop {
         let loads = entry.known_loads();
-        let engines = decode_engines(entry, routed, &loads, progress);
+        let Choice { engines, paused_until } =
+            decode_engines(entry, routed, &loads, progress, is_first);
+        is_first = false;
+        if let Some(until) = paused_until.filter(|until| *until >= give_up_at) {
+            let wait = candidates::retry_after(until, Instant::now());
+            return Err(Refusal::after(Kind::Overloaded, wait));
+        }
         if engines.is_empty() && !is_in_service(entry, routed, progress.version) {
             // Engines of other versions cannot go on with what this one began.
             entry.shared.journal.record(&routed.label, format_args!("event=no_engine_of_version"));
@@ -238,7 +264,12 @@
 fn is_in_service(entry: &Entry, routed: &Routed, version: Option<Tag>) -> bool {
     let service = entry.shared.snapshot().services[routed.service].tag;
     let registry = entry.shared.upstreams();
-    version.is_none_or(|version| registry.usable(service).any(|own| own.software == version))
+    let stays = |engine: &&registry::Entry| {
+        let standing = entry.shared.availability.standing(engine.tag, engine.started_ms);
+        standing != Standing::Leaving
+    };
+    let mut staying = registry.usable(service).filter(stays);
+    version.is_none_or(|version| staying.any(|own| own.software == version))
 }
 
 /// Retry delay for a caller refused for lack of room; random, so that retries do not coincide.
@@ -246,6 +277,15 @@
     admission::MIN_RETRY_AFTER + admission::RETRY_AFTER_JITTER.mul_f64(rand::random())
 }
 
+/// The decode engines that may be asked for a reservation.
+#[derive(Debug)]
+struct Choice {
+    /// The engines, ranked by placement.
+    engines: Vec<registry::Entry>,
+    /// When the first may be asked, if all have asked for a pause.
+    paused_until: Option<Instant>,
+}
+
 /// The usable decode engines, ranked by placement.
 ///
 /// Of the version that a response is bound to, ejected ones count too if there is no other.
@@ -254,16 +294,21 @@
     routed: &Routed,
     loads: &Loads,
     progress: &Progress,
-) -> Vec<registry::Entry> {
+    is_recorded: bool,
+) -> Choice {
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
     let now = Instant::now();
     let outliers = entry.outliers();
-    let usable: Vec<_> = registry
-        .usable(service)
-        .filter(|e| e.role == Some(Role::Decode) && !progress.excluded.contains(&e.tag))
-        .filter(|e| progress.version.is_none_or(|version| e.software == version))
-        .collect();
+    let candidates = entry.candidates(&registry, service, |e| {
+        e.role == Some(Role::Decode)
+            && !progress.excluded.contains(&e.tag)
+            && progress.version.is_none_or(|version| e.software == version)
+    });
+    if is_recorded {
+        candidates.record(entry, &routed.label);
+    }
+    let Candidates { entries: usable, paused_until, .. } = candidates;
     let mut healthy: Vec<_> =
         usable.iter().copied().filter(|e| !outliers.is_ejected(e.tag, now)).collect();
     if progress.version.is_some() {
@@ -277,7 +322,7 @@
     }
     let domain = entry.shared.domain;
     let ranked = placement::rank_decode(healthy.into_iter(), loads, domain, &mut rand::rng());
-    ranked.into_iter().cloned().collect()
+    Choice { engines: ranked.into_iter().cloned().collect(), paused_until }
 }
 
 /// Runs the prefill on a prefill engine; `None` leaves it to the decode engine.
@@ -295,12 +340,17 @@
         let now = Instant::now();
         let ranked = {
             let outliers = entry.outliers();
-            let usable = registry
-                .usable(service)
-                .filter(|e| e.role == Some(Role::Prefill) && !outliers.is_ejected(e.tag, now))
-                // What one version exports does not fit another, which then reads the prompt itself.
-                .filter(|e| progress.version.is_none_or(|version| e.software == version));
+            let candidates = entry.candidates(&registry, service, |e| {
+                e.role == Some(Role::Prefill)
+                    && !outliers.is_ejected(e.tag, now)
+                    // What one version exports does not fit another, which then reads the prompt
+                    // itself.
+                    && progress.version.is_none_or(|version| e.software == version)
+            });
+            drop(outliers);
+            candidates.record(entry, &routed.label);
             let (loads, domain) = (entry.known_loads(), entry.shared.domain);
+            let usable = candidates.entries.into_iter();
             placement::rank_prefill(usable, &loads, domain, &mut rand::rng())
         };
         let limits = Terms::of(entry, routed, now);
@@ -340,7 +390,7 @@
     phase: &str,
 ) -> Result<Export, Failure> {
     let extra = [(entry.header_names().phase, phase.to_owned())];
-    let mut response = send(entry, routed, engine, permit, &extra).await?;
+    let (mut response, _statement) = send(entry, routed, engine, permit, &extra).await?;
     let read = response.read_body(MAX_PREFILL_RESPONSE_BYTES);
     let body = tokio::time::timeout_at(routed.limit, read)
         .await
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::peers::Outbox;
 use crate::relay::load::Loads;
 use crate::settings::Settings;
+use crate::upstream::statement::Availability;
 
 /// The shared state and handles of a host, cloned into every actor and worker thread.
 #[derive(Debug, Clone)]
@@ -56,6 +57,8 @@
     pub strikes: watch::Receiver<Arc<Ledger>>,
     /// The limits that upstreams have named.
     pub limits: watch::Receiver<Arc<limit::Table>>,
+    /// What upstreams have said of themselves about new requests.
+    pub availability: Availability,
     /// Requests and tokens that this host has in flight at each upstream.
     pub loads: Loads,
     /// Streams of this host that wait to go on, by the tag of their software version.
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use damaskhatch_exchange::{self as exchange, HeaderMap, Response, StatusCode};
+use damaskhatch_exchange::{self as exchange, Head, HeaderMap, Response, StatusCode};
 use damaskhatch_policy::prelude::Request;
 use damaskhatch_policy::retry::Reach;
 use damaskhatch_policy::schedule::engine::Load;
@@ -116,21 +116,21 @@
 
 /// Posts a JSON body and maps the status of the response to an [`Error`].
 async fn post(address: &str, path: &str, body: &impl Serialize) -> Result<Response> {
-    post_with(address, path, body, |_headers| {}).await
+    post_with(address, path, body, |_head| {}).await
 }
 
-/// Posts as [`post`] does, and calls `on_head` with the response's headers, whatever its status is.
+/// Posts as [`post`] does, and calls `on_head` with the response's head, whatever its status is.
 async fn post_with(
     address: &str,
     path: &str,
     body: &impl Serialize,
-    on_head: impl Fn(&HeaderMap),
+    on_head: impl Fn(&Head),
 ) -> Result<Response> {
     let body = serde_json::to_vec(body).map_err(|_error| Error::Malformed)?;
     let mut headers = HeaderMap::new();
     headers::set(&mut headers, "content-type", "application/json");
     let response = send(address, "POST", path, headers, body.into()).await?;
-    on_head(&response.head.headers);
+    on_head(&response.head);
     match response.head.status {
         status if status.is_success() => Ok(response),
         StatusCode::NOT_FOUND | StatusCode::GONE => Err(Error::Gone),
@@ -148,12 +148,8 @@
 
 /// Runs a prompt; while there is no response, probes the engine over new connections.
 ///
-/// `on_head` is called with the headers of the response to the call itself.
-pub async fn prefill(
-    address: &str,
-    call: &Prefill,
-    on_head: impl Fn(&HeaderMap),
-) -> Result<Prefilled> {
+/// `on_head` is called with the head of the response to the call itself.
+pub async fn prefill(address: &str, call: &Prefill, on_head: impl Fn(&Head)) -> Result<Prefilled> {
     let response = tokio::time::timeout(PREFILL_TIMEOUT, async {
         let response = post_with(address, "/prefill", call, on_head).await?;
         let prefilled: Prefilled = read_json(response).await?;
@@ -194,14 +190,14 @@
     buffer: Vec<u8>,
 }
 
-/// Starts generation and opens its token stream; `on_head` is called with the response's headers.
-pub async fn decode(address: &str, call: &Decode, on_head: impl Fn(&HeaderMap)) -> Result<Tokens> {
+/// Starts generation and opens its token stream; `on_head` is called with the response's head.
+pub async fn decode(address: &str, call: &Decode, on_head: impl Fn(&Head)) -> Result<Tokens> {
     open_stream(address, "/decode", call, &call.request, on_head).await
 }
 
 /// Reopens the token stream of a running request over a new connection.
 pub async fn resume(address: &str, call: &Resume) -> Result<Tokens> {
-    open_stream(address, "/resume", call, &call.request, |_headers| {}).await
+    open_stream(address, "/resume", call, &call.request, |_head| {}).await
 }
 
 /// Posts a call whose response is a token stream, and waits for its head.
@@ -210,7 +206,7 @@
     path: &str,
     call: &impl Serialize,
     request: &str,
-    on_head: impl Fn(&HeaderMap),
+    on_head: impl Fn(&Head),
 ) -> Result<Tokens> {
     let posted = post_with(address, path, call, on_head);
     let opened = tokio::time::timeout(SILENCE_TIMEOUT * 2, posted).await;
@@ -291,20 +287,25 @@
 }
 
 /// Fetches an engine's load report; `None` if the call fails.
-pub async fn fetch_load(address: &str) -> Option<Load> {
-    get(address, "/load").await
+pub async fn fetch_load(address: &str, on_head: impl Fn(&Head)) -> Option<Load> {
+    get(address, "/load", on_head).await
 }
 
 /// Lists the requests for which an engine holds any state; `None` if the call fails.
 pub async fn list_requests(address: &str) -> Option<Vec<Request>> {
-    let listed: Requests = get(address, "/requests").await?;
+    let listed: Requests = get(address, "/requests", |_head| {}).await?;
     Some(listed.requests.iter().filter_map(|request| request.parse().ok()).collect())
 }
 
 /// Gets and parses a JSON resource; `None` if any step fails or takes too long.
-async fn get<T: serde::de::DeserializeOwned>(address: &str, path: &str) -> Option<T> {
+async fn get<T: serde::de::DeserializeOwned>(
+    address: &str,
+    path: &str,
+    on_head: impl Fn(&Head),
+) -> Option<T> {
     let call = async {
         let response = send(address, "GET", path, HeaderMap::new(), Bytes::new()).await.ok()?;
+        on_head(&response.head);
         if !response.head.status.is_success() {
             return None;
         }
--- a/crates/damaskhatch/src/upstream/mod.rs
+++ b/crates/damaskhatch/src/upstream/mod.rs
@@ -6,3 +6,4 @@
 pub mod events;
 pub mod message;
 pub mod plain;
+pub mod statement;
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -5,7 +5,7 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
-use damaskhatch_exchange::{Framing, HeaderMap};
+use damaskhatch_exchange::{Framing, Head, HeaderMap};
 use damaskhatch_policy::ending::{Upstream, Verdict};
 use damaskhatch_policy::prelude::Request;
 
@@ -45,19 +45,19 @@
 /// Also returns whether the body is known to be complete. The call fails with [`Error::Broken`] if
 /// the body is a stream of events and ends inside one, or if it ends with its connection and the
 /// upstream then refuses connections, unless `is_leaving` returns true. `on_head` is called with the
-/// response's headers, whatever its status is.
+/// response's head, whatever its status is.
 pub async fn call(
     address: &str,
     call: &Call,
     request: Request,
     is_leaving: impl Fn() -> bool,
-    on_head: impl Fn(&HeaderMap),
+    on_head: impl Fn(&Head),
 ) -> Result<(Response, Verdict)> {
     let exchange = async {
         let (method, target) = (call.method.as_str(), call.target.as_str());
         let sent = send(address, method, target, call.headers.clone(), call.body.clone());
         let mut response = sent.await?;
-        on_head(&response.head.headers);
+        on_head(&response.head);
         let body = response.read_body(MAX_RESPONSE_BYTES).await?;
         let is_framed = response.framing != Framing::Close;
         let is_resumed = call.headers.contains_key(LAST_EVENT);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod availability;
 pub mod backlog;
 pub mod bucket;
 pub mod config;
--- a/crates/policy/src/schedule/mod.rs
+++ b/crates/policy/src/schedule/mod.rs
@@ -115,10 +115,16 @@
             entry.claimed_at = now;
             return None;
         }
-        let decodes = self.engines.values().filter(|engine| engine.is_decode() && !engine.leaving);
-        let fits = decodes.clone().any(|engine| engine.has_capacity_for(demand.pieces()));
+        let usable = self
+            .engines
+            .iter()
+            .filter(|(tag, engine)| !engine.leaving && !demand.avoid.contains(tag))
+            .map(|(_, engine)| engine);
+        let fits = |engine: &Engine| engine.has_capacity_for(demand.pieces());
+        let can_decode = usable.clone().any(|engine| engine.is_decode() && fits(engine));
+        let can_prefill = usable.clone().any(Engine::is_prefill);
         let redirect = other_domain.filter(|_| !demand.redirected);
-        if !fits || !self.engines.values().any(|engine| engine.is_prefill() && !engine.leaving) {
+        if !can_decode || !can_prefill {
             return Some(redirect.map_or_else(
                 || self.refusal(&demand, Kind::NoUpstream),
                 |domain| Decision::Redirect { request, domain },
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -2,6 +2,7 @@
 //!
 //! Postcard encodes variants and fields by position, so their order is part of the protocol.
 
+use damaskhatch_policy::availability::Notice;
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::limit::{Ask, Statement, Verdict as Permission};
 use damaskhatch_policy::membership::{Count, Record};
@@ -260,5 +261,7 @@
             /// The version; `None` if the sender does not know the stream.
             version: Option<Tag>,
         },
+        /// Tells what upstreams have said about new requests.
+        Availability(Vec<Notice>),
     }
 }
