Ask for the version of a stream before relying on the only known one

Cause: a host that knew one software version of a service took up any stream at that version, although its list of engines might lack one that had just joined.

Change: a host asks the recorders also if it knows of one version only, and reads the list of engines itself where not every domain can reply; without a reply or a list nobody knows the version, and the caller is told to begin anew. Recorders whose list is up to date reply without a read of the store while they know of one version.

--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -6,6 +6,7 @@
 //! a recorder that does not know it reads what is saved.
 
 mod saved;
+mod search;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,6 +22,7 @@
 use crate::prelude::*;
 use crate::shared::Shared;
 use crate::supervise::guard;
+use search::{Asker, Search};
 
 /// The role by which rendezvous hashing selects the recorders of a domain.
 const RECORDER_ROLE: &str = "lineage-recorder";
@@ -34,10 +36,6 @@
 const TELL_DELAY: Duration = Duration::from_millis(5);
 /// The number of streams in a datagram, of up to ten bytes each.
 const STREAMS_PER_DATAGRAM: usize = 100;
-/// The time after which a query without a reply is sent again.
-const RESEND_INTERVAL: Duration = Duration::from_millis(40);
-/// How long a query may take, a read of the store included.
-const FIND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Records that the engine of a stream is of a version.
 #[derive(Debug, Clone, Copy, Message)]
@@ -61,28 +59,6 @@
     pub reply: oneshot::Sender<Option<Tag>>,
 }
 
-/// Who asked for the version of a stream.
-#[derive(Debug)]
-enum Asker {
-    /// A request of this host.
-    Request(oneshot::Sender<Option<Tag>>),
-    /// Another host, under the number of its query.
-    Host(SocketAddr, u64),
-}
-
-/// A query for a stream that this host does not know yet.
-#[derive(Debug)]
-struct Search {
-    stream: Tag,
-    asker: Asker,
-    /// The recorders that have not replied.
-    open: Vec<SocketAddr>,
-    /// Whether this host still has to read what is saved.
-    awaits_load: bool,
-    asked_at: Instant,
-    sent_at: Instant,
-}
-
 /// The actor that remembers the versions of streams.
 #[derive(Debug)]
 pub struct Lineage {
@@ -96,9 +72,7 @@
     was_recording: bool,
     /// Whether the list of engines was out of date at the last look, as it is before the first.
     was_stale: bool,
-    searches: HashMap<u64, Search>,
-    /// The number of queries so far.
-    serial: u64,
+    searches: search::State,
     store: saved::State,
 }
 
@@ -113,8 +87,7 @@
             is_telling: false,
             was_recording: false,
             was_stale: true,
-            searches: HashMap::new(),
-            serial: 0,
+            searches: search::State::default(),
             store: saved::State::default(),
         }
     }
@@ -188,116 +161,30 @@
         others.filter_map(|host| hosts.address(host)).collect()
     }
 
-    fn find(&mut self, find: Find, ctx: &mut Context<Self>) {
-        let now = Instant::now();
-        let Find { stream, service, reply } = find;
-        let known = stream.and_then(|stream| self.streams.version(stream));
-        let known = known.or_else(|| self.served.sole(service, now));
-        let Some(stream) = stream.filter(|_| known.is_none()) else {
-            let _caller_left = reply.send(known);
-            return;
-        };
-        let open = self.all_recorders();
-        // Alone, or cut off, it knows what is saved if it reads it itself.
-        let awaits_load =
-            open.is_empty() || self.recorders(self.shared.domain).contains(&self.shared.host);
-        self.search(stream, Asker::Request(reply), open, awaits_load, ctx);
-    }
-
-    fn search(
-        &mut self,
-        stream: Tag,
-        asker: Asker,
-        open: Vec<SocketAddr>,
-        awaits_load: bool,
-        ctx: &mut Context<Self>,
-    ) {
-        let now = Instant::now();
-        self.serial += 1;
-        let serial = self.serial;
-        for address in &open {
-            self.shared.outbox.send(*address, Body::FindStream { serial, stream });
-        }
-        let search = Search { stream, asker, open, awaits_load, asked_at: now, sent_at: now };
-        self.searches.insert(serial, search);
-        if awaits_load {
-            self.load(ctx);
-        }
-        ctx.run_later(RESEND_INTERVAL, move |actor, ctx| {
-            guard(actor, ctx, |actor, ctx| actor.look_after(serial, ctx));
-        });
-    }
-
-    /// Sends a query again to the recorders that have not replied, or gives it up.
-    fn look_after(&mut self, serial: u64, ctx: &mut Context<Self>) {
-        let now = Instant::now();
-        let Some(search) = self.searches.get_mut(&serial) else { return };
-        if now.saturating_duration_since(search.asked_at) >= FIND_TIMEOUT {
-            self.answer(serial, None);
-            return;
-        }
-        if now.saturating_duration_since(search.sent_at) >= RESEND_INTERVAL {
-            search.sent_at = now;
-            for address in &search.open {
-                let body = Body::FindStream { serial, stream: search.stream };
-                self.shared.outbox.send(*address, body);
-            }
-        }
-        ctx.run_later(RESEND_INTERVAL, move |actor, ctx| {
-            guard(actor, ctx, |actor, ctx| actor.look_after(serial, ctx));
-        });
-    }
-
-    /// Answers the searches whose result is known, after a reply or a read of the store.
-    fn settle(&mut self) {
-        let known = self.searches.iter().filter_map(|(serial, search)| {
-            let version = self.streams.version(search.stream);
-            let is_over = search.open.is_empty() && !search.awaits_load;
-            (version.is_some() || is_over).then_some((*serial, version))
-        });
-        for (serial, version) in known.collect::<Vec<_>>() {
-            self.answer(serial, version);
-        }
-    }
-
-    fn answer(&mut self, serial: u64, version: Option<Tag>) {
-        let Some(Search { asker, asked_at, stream, .. }) = self.searches.remove(&serial) else {
-            return;
-        };
-        match asker {
-            Asker::Request(reply) => {
-                let waited_ms = asked_at.elapsed().as_millis();
-                let result = if version.is_some() { "known" } else { "unknown" };
-                log::info!(
-                    "event=stream_searched stream={stream} result={result} waited_ms={waited_ms}"
-                );
-                let _caller_left = reply.send(version);
-            }
-            Asker::Host(address, serial) => {
-                self.shared.outbox.send(address, Body::StreamFound { serial, version });
-            }
-        }
-    }
-
     fn receive(&mut self, arrival: &Arrival, ctx: &mut Context<Self>) {
         let source = arrival.source;
         match &arrival.body {
             Body::Begun(begun) => self.record(begun, ctx),
             Body::FindStream { serial, stream } => {
                 let asker = Asker::Host(source, *serial);
-                match self.streams.version(*stream) {
-                    Some(version) => {
-                        let body = Body::StreamFound { serial: *serial, version: Some(version) };
-                        self.shared.outbox.send(source, body);
-                    }
-                    None => self.search(*stream, asker, Vec::new(), true, ctx),
-                }
+                self.notice_stale_list();
+                let search = Search {
+                    stream: Some(*stream),
+                    asker,
+                    open: Vec::new(),
+                    awaits_load: self.streams.version(*stream).is_none() && self.is_recording(),
+                    awaits_list: false,
+                    asked_at: Instant::now(),
+                    sent_at: Instant::now(),
+                };
+                self.search(search, ctx);
+                self.settle();
             }
             Body::StreamFound { serial, version } => {
-                let Some(search) = self.searches.get_mut(serial) else { return };
+                let Some(search) = self.searches.open.get_mut(serial) else { return };
                 search.open.retain(|address| *address != source);
-                if let Some(version) = version {
-                    self.streams.record(search.stream, *version, Instant::now());
+                if let (Some(stream), Some(version)) = (search.stream, version) {
+                    self.streams.record(stream, *version, Instant::now());
                 }
                 self.settle();
             }
@@ -305,13 +192,21 @@
         }
     }
 
-    /// Takes the registered engines into account, and saves which versions have served.
-    fn observe(&mut self, ctx: &mut Context<Self>) {
+    /// Finds out whether the list of engines is out of date, in which case engines of other versions
+    /// may come and go unseen.
+    fn notice_stale_list(&mut self) -> bool {
         let is_stale = self.shared.config_age().is_none_or(|age| age > MAX_LIST_AGE);
         if is_stale {
-            // Engines of other versions may come and go unseen.
             self.served.interrupt();
-        } else {
+            self.was_stale = true;
+        }
+        is_stale
+    }
+
+    /// Takes the registered engines into account, and saves which versions have served.
+    fn observe(&mut self, ctx: &mut Context<Self>) {
+        let is_stale = self.notice_stale_list();
+        if !is_stale {
             let registry = self.shared.upstreams();
             self.served.observe(registry.entries().map(|(_, entry)| entry), Instant::now());
             if self.was_stale {
@@ -365,7 +260,7 @@
 
 impl Supervised for Lineage {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
-        self.searches.clear();
+        self.searches = search::State::default();
         self.is_telling = false;
         self.store = saved::State::default();
     }
--- a/crates/damaskhatch/src/control/lineage/saved.rs
+++ b/crates/damaskhatch/src/control/lineage/saved.rs
@@ -163,7 +163,7 @@
     }
 
     fn end_load(&mut self) {
-        self.searches.values_mut().for_each(|search| search.awaits_load = false);
+        self.searches.open.values_mut().for_each(|search| search.awaits_load = false);
         self.settle();
     }
 
@@ -243,7 +243,7 @@
         }));
     }
 
-    fn count_call(&self, is_ok: bool) {
+    pub(super) fn count_call(&self, is_ok: bool) {
         let result = if is_ok { "ok" } else { "failed" };
         self.shared.metrics.platform_calls.with_label_values(&[result]).inc();
     }
