Read the leases of all silent hosts in one call; leave odd entries out one by one

Hosts that start together knew few others when they decided on roles, so that most of them took some for a time: 114 leases and 390 swaps of rosters in the first ten seconds on five domains with four holders each. A host without slots read the roster every 2 s, although heartbeats name holders.

Change: one list of the records under a prefix, where the store lists keys; the first ten heartbeats go to more hosts; idle hosts read the roster every 8 s; hosts without a configuration poll for the first one less often.

--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -68,7 +68,12 @@
                     if !actor.shared.is_behind_peer() {
                         actor.freshness.send_modify(|freshness| freshness.confirm(sent_at));
                     }
-                    if is_missing { WATCH_PAUSE } else { Duration::ZERO }
+                    match (is_missing, actor.shared.is_reader()) {
+                        (false, _) => Duration::ZERO,
+                        (true, true) => WATCH_PAUSE,
+                        // The readers announce the first configuration.
+                        (true, false) => DIRECT_READ_AFTER,
+                    }
                 }
                 Err(error) => {
                     actor.store.record_result(Some(&error));
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -41,6 +41,8 @@
     /// The version of the store up to which the registry was read; `None` while this host does
     /// not read the store or has to read the complete list again.
     version: Option<u64>,
+    /// The versions of malformed entries, by key, each of which is logged once.
+    left_out: HashMap<String, u64>,
     store: Dependency,
 }
 
@@ -71,6 +73,7 @@
             archive,
             registry: Registry::default(),
             version: None,
+            left_out: HashMap::new(),
             store: Dependency::new("store", "listing"),
         }
     }
@@ -126,6 +129,10 @@
     /// Applies a complete list or a list of changes that was read from the store.
     fn apply_listing(&mut self, listing: message::Listing) {
         let is_complete = self.version.is_none();
+        if is_complete {
+            let listed = |key: &String| listing.items.iter().any(|(other, _)| other == key);
+            self.left_out.retain(|key, _| listed(key));
+        }
         let items = listing.items.into_iter();
         let changes = items.map(|(key, item)| {
             let change = self.decode(&key, item.as_ref());
@@ -185,15 +192,25 @@
     }
 
     /// Decodes an item of the store; an item that is malformed counts as removed.
-    fn decode(&self, key: &str, item: Option<&Item>) -> Change {
-        let Some(item) = item else { return Change::Removed };
-        match (self.catalogue.decode_upstream)(key, &item.value) {
-            Ok(entry) => Change::Listed(entry),
-            Err(error) => {
-                log::warn!("event=upstream_entry_left_out key={key} error={error}");
-                Change::Removed
+    fn decode(&mut self, key: &str, item: Option<&Item>) -> Change {
+        let decoded = item.map(|item| (self.catalogue.decode_upstream)(key, &item.value));
+        let error = match decoded {
+            Some(Ok(entry)) => {
+                self.left_out.remove(key);
+                return Change::Listed(entry);
             }
+            Some(Err(error)) => error,
+            None => {
+                self.left_out.remove(key);
+                return Change::Removed;
+            }
+        };
+        let version = item.map_or(0, |item| item.version);
+        if self.left_out.insert(key.to_owned(), version) != Some(version) {
+            self.shared.metrics.left_out_entries.inc();
+            log::warn!("event=upstream_entry_left_out key={key:?} version={version} error={error}");
         }
+        Change::Removed
     }
 }
 
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -29,7 +29,7 @@
 /// The time between two steps of a host that holds slots or should hold some.
 const STEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two reads by a host without slots; heartbeats name new holders sooner.
-const IDLE_READ_INTERVAL: Duration = Duration::from_secs(2);
+const IDLE_READ_INTERVAL: Duration = Duration::from_secs(8);
 /// The pause after a step that changed the roster or tried to.
 const CHANGED_PAUSE: Duration = Duration::from_millis(200);
 /// The number of hosts that share the slots of a domain of any size.
--- a/crates/damaskhatch/src/control/roster/store.rs
+++ b/crates/damaskhatch/src/control/roster/store.rs
@@ -1,11 +1,12 @@
 //! Reads and writes the records of a domain's hosts in the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
-use damaskhatch_policy::tenure::{Confirmed, LEASE_TTL, Observed, Roster, Seat};
+use damaskhatch_policy::tenure::{LEASE_TTL, Observed, Roster, Seat};
 use damaskhatch_store::error::{Error, Result};
 use damaskhatch_store::message::Grant;
 use damaskhatch_store::prelude::Client;
+use serde::de::DeserializeOwned;
 
 use crate::prelude::*;
 
@@ -37,11 +38,21 @@
     }
 
     pub fn lease(&self, host: Tag) -> String {
-        format!("damaskhatch/lease/{}/{host}", self.domain)
+        format!("{}{host}", self.leases())
     }
 
     pub fn confirmed(&self, host: Tag) -> String {
-        format!("damaskhatch/confirmed/{}/{host}", self.domain)
+        format!("{}{host}", self.confirmations())
+    }
+
+    /// The prefix of the keys of all leases.
+    fn leases(&self) -> String {
+        format!("damaskhatch/lease/{}/", self.domain)
+    }
+
+    /// The prefix of the keys of what all hosts confirmed.
+    fn confirmations(&self) -> String {
+        format!("damaskhatch/confirmed/{}/", self.domain)
     }
 }
 
@@ -70,13 +81,7 @@
         Err(Error::Missing) => (None, 0),
         Err(error) => return Err(error),
     };
-    let mut observed = Observed::default();
-    for seat in silent {
-        if is_lapsed(&client, &keys, seat).await? {
-            observed.lapsed.insert(seat);
-            observed.confirmed.extend(read_confirmed(&client, &keys, seat.host).await?);
-        }
-    }
+    let observed = observe_silent(&client, &keys, silent).await?;
     Ok(Reading { lease, was_lost, roster, version, observed })
 }
 
@@ -87,32 +92,59 @@
     Ok(lease)
 }
 
-/// Whether an incarnation of a host has no lease; the lease of a later incarnation is not its own.
-pub async fn is_lapsed(client: &Client, keys: &Keys, seat: Seat) -> Result<bool> {
-    match client.get(&keys.lease(seat.host)).await {
-        Ok(item) => Ok(decode::<Seat>(&item.value)? != seat),
-        Err(Error::Missing) => Ok(true),
-        Err(error) => Err(error),
-    }
+/// Finds out which silent incarnations have no lease, and what their hosts last confirmed.
+///
+/// The lease of a later incarnation of a host is not that of an earlier one.
+async fn observe_silent(client: &Client, keys: &Keys, silent: Vec<Seat>) -> Result<Observed> {
+    let hosts: HashSet<Tag> = silent.iter().map(|seat| seat.host).collect();
+    let leases: HashMap<Tag, Seat> = read_records(client, &keys.leases(), hosts).await?;
+    let lapsed: HashSet<Seat> =
+        silent.into_iter().filter(|seat| leases.get(&seat.host) != Some(seat)).collect();
+    let hosts = lapsed.iter().map(|seat| seat.host).collect();
+    let confirmed = read_records(client, &keys.confirmations(), hosts).await?;
+    Ok(Observed { lapsed, confirmed, ..Observed::default() })
 }
 
-/// Reads the last epoch that a host confirmed; empty if it never stored one.
-pub async fn read_confirmed(
+/// Reads the records of some hosts under a prefix, all in one call where the store can list keys.
+///
+/// After many hosts have failed together, a call for each would be most of the store's load.
+async fn read_records<T: DeserializeOwned>(
     client: &Client,
-    keys: &Keys,
-    host: Tag,
-) -> Result<HashMap<Tag, Confirmed>> {
-    match client.get(&keys.confirmed(host)).await {
-        Ok(item) => Ok(HashMap::from([(host, decode(&item.value)?)])),
-        Err(Error::Missing) => Ok(HashMap::new()),
-        Err(error) => Err(error),
+    prefix: &str,
+    hosts: HashSet<Tag>,
+) -> Result<HashMap<Tag, T>> {
+    let mut records = HashMap::new();
+    if hosts.len() > 1 {
+        match client.list(prefix, false).await {
+            Ok(listing) => {
+                let keys: HashMap<String, Tag> =
+                    hosts.iter().map(|host| (format!("{prefix}{host}"), *host)).collect();
+                for (key, item) in listing.items {
+                    if let (Some(host), Some(item)) = (keys.get(&key), item) {
+                        records.insert(*host, decode(&item.value)?);
+                    }
+                }
+                return Ok(records);
+            }
+            // This store reads keys one by one.
+            Err(Error::Unsupported) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    for host in hosts {
+        match client.get(&format!("{prefix}{host}")).await {
+            Ok(item) => drop(records.insert(host, decode(&item.value)?)),
+            Err(Error::Missing) => {}
+            Err(error) => return Err(error),
+        }
     }
+    Ok(records)
 }
 
 pub fn encode(value: &impl serde::Serialize) -> String {
     serde_json::to_string(value).expect("rosters have only strings and finite numbers")
 }
 
-pub fn decode<T: serde::de::DeserializeOwned>(text: &str) -> Result<T> {
+pub fn decode<T: DeserializeOwned>(text: &str) -> Result<T> {
     serde_json::from_str(text).map_err(|error| Error::Malformed(error.to_string()))
 }
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -49,6 +49,8 @@
     pub statements: IntCounterVec,
     /// Choices for which upstreams were left out, by reason.
     pub left_out: IntCounterVec,
+    /// Entries of upstreams that were left out because they are malformed.
+    pub left_out_entries: IntCounter,
     /// Pairs of engines that this host chose itself, without a scheduler.
     pub fallbacks: IntCounter,
     /// Cancellations that an engine has not confirmed yet.
@@ -122,6 +124,7 @@
                 &["kind"],
             ),
             left_out: counters(r, "left_out_total", "Choices without some upstreams.", &["reason"]),
+            left_out_entries: counter(r, "entries_left_out_total", "Malformed entries."),
             fallbacks: counter(r, "fallbacks_total", "Pairs chosen without a scheduler."),
             cancels_open: gauge(r, "cancels_open", "Cancellations not confirmed yet."),
             frames_dropped: counters(r, "frames_dropped_total", "Frames dropped.", &["reason"]),
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -18,6 +18,13 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// The number of hosts of the same domain that get each heartbeat, for any fleet size.
 pub const NEAR_FAN_OUT: usize = 2;
+/// The number of heartbeats after a start that go to more hosts, so that hosts which start together
+/// know each other before they decide which of them hold roles.
+const STARTING_HEARTBEATS: u64 = 10;
+/// The number of hosts of the same domain that get each of those heartbeats.
+const STARTING_NEAR_FAN_OUT: usize = 6;
+/// The number of unreached addresses that get each of those heartbeats; later ones go to one.
+const STARTING_UNREACHED: usize = 4;
 /// The number of heartbeats of which one is also sent to a host of another domain.
 const FAR_HEARTBEAT_PERIOD: u64 = 2;
 /// The maximum number of records of other hosts in each heartbeat.
@@ -213,10 +220,16 @@
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             alive.iter().partition(|member| member.record.domain == self.own.domain);
         let far_fan_out = usize::from(self.own.count.is_multiple_of(FAR_HEARTBEAT_PERIOD));
-        let drawn = near.sample(rng, NEAR_FAN_OUT).copied().collect::<Vec<_>>();
+        let is_starting = self.own.count <= STARTING_HEARTBEATS;
+        let (near_fan_out, unreached) = if is_starting {
+            (STARTING_NEAR_FAN_OUT, STARTING_UNREACHED)
+        } else {
+            (NEAR_FAN_OUT, 1)
+        };
+        let drawn = near.sample(rng, near_fan_out).copied().collect::<Vec<_>>();
         let drawn = drawn.into_iter().chain(far.sample(rng, far_fan_out).copied());
         let mut to: Vec<SocketAddr> = drawn.map(|member| member.record.address).collect();
-        to.extend(self.unreached_addresses(&alive, now).choose(rng));
+        to.extend(self.unreached_addresses(&alive, now).sample(rng, unreached).copied());
         let mut records = vec![self.own.clone()];
         records.extend(alive.sample(rng, MAX_GOSSIPED_RECORDS).map(|member| member.record.clone()));
         let near = near.sample(rng, MAX_NEAR_COUNTS).copied().collect::<Vec<_>>();
