--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -21,6 +21,11 @@
     /// A host that is not a reader reads only if no reader keeps its configuration fresh, and no peer
     /// has a newer one: the pull from that peer takes less, and the two would share one link.
     pub(super) fn watch_store(&self, ctx: &mut Context<Self>) {
+        if self.version > 0 && self.foreign().is_some() && self.shared.is_settling() {
+            // Of the hosts that start together, most would watch the store for a moment only.
+            ctx.run_later(WATCH_PAUSE, |actor, ctx| actor.watch_store(ctx));
+            return;
+        }
         let is_pull_due = self.shared.is_behind_peer() && self.failed_pulls < MAX_FAILED_PULLS;
         let reads_directly = self.foreign().is_some()
             && !is_pull_due
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -80,6 +80,11 @@
 
     /// Reads the complete list first and watches for changes from then on.
     fn read_store(&mut self, ctx: &mut Context<Self>) {
+        if self.version.is_some() && self.shared.is_settling() {
+            // Of the hosts that start together, most would watch the list for a moment only.
+            ctx.run_later(IDLE_PAUSE, Self::read_store);
+            return;
+        }
         let reads_directly = self.registry.is_empty()
             || self.shared.config_age().is_none_or(|a| a > DIRECT_READ_AFTER);
         if !self.shared.is_reader() && !reads_directly {
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -73,6 +73,9 @@
     pub serial: Arc<AtomicU64>,
 }
 
+/// The time after a start in which a host hears from most of the hosts of its domain.
+const SETTLING_TIME: Duration = Duration::from_millis(1_200);
+
 impl Shared {
     /// The configuration in force now.
     pub fn snapshot(&self) -> Arc<Snapshot> {
@@ -106,6 +109,11 @@
         rendezvous::owners(Tag::of(role), eligible, count).contains(&self.host)
     }
 
+    /// Whether this host has started so lately that it may not know which hosts hold which roles.
+    pub fn is_settling(&self) -> bool {
+        !self.settings.host.seeds.is_empty() && self.started.elapsed() < SETTLING_TIME
+    }
+
     /// Whether this host reads the store for its domain.
     pub fn is_reader(&self) -> bool {
         self.is_owner(READER_ROLE, READERS_PER_DOMAIN)
