Answer known streams at once; one way to ask for the standing of a listed upstream

Found by reading the change once more, what is decided is as before. A recorder that knows a stream replied through a search and a timer of its own; it replies at once again. Load polls named upstreams in the log by index and name, other calls by name; now all do by name. The same check of a registry entry's standing stood in four places.

--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -166,13 +166,18 @@
         match &arrival.body {
             Body::Begun(begun) => self.record(begun, ctx),
             Body::FindStream { serial, stream } => {
+                if let version @ Some(_) = self.streams.version(*stream) {
+                    let body = Body::StreamFound { serial: *serial, version };
+                    self.shared.outbox.send(source, body);
+                    return;
+                }
                 let asker = Asker::Host(source, *serial);
                 self.notice_stale_list();
                 let search = Search {
                     stream: Some(*stream),
                     asker,
                     open: Vec::new(),
-                    awaits_load: self.streams.version(*stream).is_none() && self.is_recording(),
+                    awaits_load: self.is_recording(),
                     awaits_list: false,
                     asked_at: Instant::now(),
                     sent_at: Instant::now(),
--- a/crates/damaskhatch/src/control/scheduling.rs
+++ b/crates/damaskhatch/src/control/scheduling.rs
@@ -21,6 +21,7 @@
 use crate::control::claims::scheduler_role;
 use crate::control::limits::Limits;
 use crate::control::membership::{Membership, SetHeadroom, SetLeaving};
+use crate::entry::completion::upstream_name;
 use crate::peers::Arrival;
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -254,7 +255,7 @@
         for (tag, address) in polled {
             let is_announced_leaving = leaving.contains(&tag);
             let (shared, limits) = (self.shared.clone(), self.limits.clone());
-            let name = display_name(&snapshot, tag);
+            let name = upstream_name(&snapshot, tag);
             let read = async move {
                 let (run, sent_at) = (Run { name: &name, tag, started_ms: 0 }, Instant::now());
                 let learn = |head: &Head| {
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -88,10 +88,8 @@
         let registry = self.shared.upstreams();
         let models = snapshot.services.iter().filter(|(_, service)| service.engines.is_some());
         for (_, service) in models {
-            let stays = |engine: &&Entry| {
-                let standing = self.shared.availability.standing(engine.tag, engine.started_ms);
-                standing != Standing::Leaving
-            };
+            let availability = &self.shared.availability;
+            let stays = |engine: &&Entry| availability.standing_of(engine) != Standing::Leaving;
             let pools = stages::pools(registry.usable(service.tag).filter(stays));
             self.debounces.retain(|(tag, version), _| {
                 *tag != service.tag || pools.is_empty() || pools.contains_key(version)
@@ -105,10 +103,8 @@
                 if !debounce.is_due(change.is_some(), now) {
                     continue;
                 }
-                let may_ask = |change: &Change| {
-                    let Entry { tag, started_ms, .. } = change.engine;
-                    self.shared.availability.standing(tag, started_ms).allows_requests()
-                };
+                let may_ask =
+                    |change: &Change| availability.standing_of(&change.engine).allows_requests();
                 if let Some(change) = change.filter(may_ask) {
                     self.issue_order(pool, change, ctx);
                     return;
--- a/crates/damaskhatch/src/entry/place.rs
+++ b/crates/damaskhatch/src/entry/place.rs
@@ -236,7 +236,8 @@
     unavailable
 }
 
-/// An engine whose limit is used up, or that has asked for a pause or is leaving, and when a request may come back.
+/// An engine whose limit is used up, or that has asked for a pause or is leaving, and when a request
+/// may come back.
 #[derive(Debug)]
 pub struct HeldBack {
     /// The engine.
--- a/crates/damaskhatch/src/relay/candidates.rs
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -88,8 +88,7 @@
 
     /// Whether a request may be sent to an upstream that was chosen some time ago.
     pub fn may_ask(&self, upstream: &registry::Entry) -> bool {
-        let standing = self.shared.availability.standing(upstream.tag, upstream.started_ms);
-        standing.allows_requests()
+        self.shared.availability.standing_of(upstream).allows_requests()
     }
 }
 
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -264,10 +264,8 @@
 fn is_in_service(entry: &Entry, routed: &Routed, version: Option<Tag>) -> bool {
     let service = entry.shared.snapshot().services[routed.service].tag;
     let registry = entry.shared.upstreams();
-    let stays = |engine: &&registry::Entry| {
-        let standing = entry.shared.availability.standing(engine.tag, engine.started_ms);
-        standing != Standing::Leaving
-    };
+    let availability = &entry.shared.availability;
+    let stays = |engine: &&registry::Entry| availability.standing_of(engine) != Standing::Leaving;
     let mut staying = registry.usable(service).filter(stays);
     version.is_none_or(|version| staying.any(|own| own.software == version))
 }
--- a/crates/damaskhatch/src/upstream/statement.rs
+++ b/crates/damaskhatch/src/upstream/statement.rs
@@ -27,6 +27,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether this host may send a request to a registered upstream now.
+    pub fn standing_of(&self, upstream: &registry::Entry) -> Standing {
+        self.standing(upstream.tag, upstream.started_ms)
+    }
+
     /// Whether this host may send a request to a start of an upstream now.
     pub fn standing(&self, upstream: Tag, started_ms: u64) -> Standing {
         self.lock().standing(upstream, started_ms, Instant::now())
