Keep the count at which a record was announced, and announce new slots to the whole domain

Traced by six copies of the test at once: a host got no reply to a charge (event=charge_unanswered ... announced=none). Counts, which are forwarded more often than records, overwrote the count of the record that a host had. A forwarded older record then carried a newer count and replaced a newer record elsewhere, and a newer record with a count that had been heard already was dropped. So hosts forgot, or never learned, who holds a slot, who leaves, and which revision is in force.

Change: a member keeps the highest count apart from its record. A change of slots or of departure goes to all live hosts of the domain for three heartbeats.

--- a/crates/policy/src/error.rs
+++ b/crates/policy/src/error.rs
@@ -33,7 +33,7 @@
     NoUpstream,
     /// requests with this body crashed several upstreams
     Quarantined,
-    /// the host has no configuration yet or is leaving
+    /// the host has no configuration yet, is leaving, or got no reply from a holder of the rate
     Unavailable,
     /// a request with the same idempotency key and another body was seen
     KeyReused,
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -25,6 +25,9 @@
 const STARTING_NEAR_FAN_OUT: usize = 6;
 /// The number of unreached addresses that get each of those heartbeats; later ones go to one.
 const STARTING_UNREACHED: usize = 4;
+/// The number of heartbeats that go to all live hosts of the domain after this host's slots or its
+/// departure have changed: the usual ones take seconds to reach everyone in a large domain.
+const ANNOUNCING_HEARTBEATS: u32 = 3;
 /// The number of heartbeats of which one is also sent to a host of another domain.
 const FAR_HEARTBEAT_PERIOD: u64 = 2;
 /// The maximum number of records of other hosts in each heartbeat.
@@ -97,9 +100,10 @@
 }
 
 impl Count {
-    fn of(record: &Record) -> Self {
+    fn of(member: &Member) -> Self {
+        let Member { record, count, .. } = member;
         let host = host_prefix(record.host);
-        Self { host, incarnation: record.incarnation as u32, count: record.count as u32 }
+        Self { host, incarnation: record.incarnation as u32, count: *count as u32 }
     }
 }
 
@@ -111,8 +115,11 @@
 /// What this host knows about another host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
-    /// The newest record received.
+    /// The newest record received, with the count at which the host announced it.
     pub record: Record,
+    /// The highest count received, which may be newer than the record: counts are forwarded more
+    /// often.
+    pub count: u64,
     /// When the count last grew, by this host's clock.
     pub last_heard: Instant,
     /// Whether the platform's list says that the host is leaving.
@@ -140,6 +147,10 @@
     pub own: Record,
     members: BTreeMap<Tag, Member>,
     seeds: Vec<SocketAddr>,
+    /// The slots and the departure that were announced last.
+    announced: (u64, bool),
+    /// The number of heartbeats that have yet to announce them to the whole domain.
+    announcements_left: u32,
 }
 
 /// A heartbeat and its receivers.
@@ -156,7 +167,8 @@
 impl View {
     /// Creates a view of this host alone; `seeds` are the addresses to contact first.
     pub fn new(own: Record, seeds: Vec<SocketAddr>) -> Self {
-        Self { own, members: BTreeMap::new(), seeds }
+        let announced = (own.slots, own.is_leaving);
+        Self { own, members: BTreeMap::new(), seeds, announced, announcements_left: 0 }
     }
 
     /// Merges the records and counts of a received heartbeat.
@@ -164,13 +176,18 @@
         for record in records.iter().filter(|record| record.host != self.own.host) {
             match self.members.get_mut(&record.host) {
                 Some(member) if is_newer(record, &member.record) => {
+                    let has_restarted = record.incarnation > member.record.incarnation;
                     member.record = record.clone();
-                    member.last_heard = now;
+                    if has_restarted || record.count > member.count {
+                        member.count = record.count;
+                        member.last_heard = now;
+                    }
                 }
                 Some(_) => {}
                 None => {
                     let member = Member {
                         record: record.clone(),
+                        count: record.count,
                         last_heard: now,
                         is_listed_leaving: false,
                         suspect_after: SUSPECT_AFTER,
@@ -187,8 +204,8 @@
         for member in self.members.values_mut() {
             let Some(count) = known.get(&host_prefix(member.record.host)) else { continue };
             let is_same_incarnation = count.incarnation == member.record.incarnation as u32;
-            if is_same_incarnation && u64::from(count.count) > member.record.count {
-                member.record.count = u64::from(count.count);
+            if is_same_incarnation && u64::from(count.count) > member.count {
+                member.count = u64::from(count.count);
                 member.last_heard = now;
             }
         }
@@ -216,16 +233,20 @@
         self.own.count += 1;
         self.members.retain(|_, m| now.saturating_duration_since(m.last_heard) < FORGET_AFTER);
         self.update_suspect_after();
+        let is_announcing = self.takes_announcement();
         let alive: Vec<&Member> = self.members.values().filter(|m| m.is_alive(now)).collect();
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             alive.iter().partition(|member| member.record.domain == self.own.domain);
         let far_fan_out = usize::from(self.own.count.is_multiple_of(FAR_HEARTBEAT_PERIOD));
         let is_starting = self.own.count <= STARTING_HEARTBEATS;
-        let (near_fan_out, unreached) = if is_starting {
+        let (mut near_fan_out, unreached) = if is_starting {
             (STARTING_NEAR_FAN_OUT, STARTING_UNREACHED)
         } else {
             (NEAR_FAN_OUT, 1)
         };
+        if is_announcing {
+            near_fan_out = near.len();
+        }
         let drawn = near.sample(rng, near_fan_out).copied().collect::<Vec<_>>();
         let drawn = drawn.into_iter().chain(far.sample(rng, far_fan_out).copied());
         let mut to: Vec<SocketAddr> = drawn.map(|member| member.record.address).collect();
@@ -234,10 +255,21 @@
         records.extend(alive.sample(rng, MAX_GOSSIPED_RECORDS).map(|member| member.record.clone()));
         let near = near.sample(rng, MAX_NEAR_COUNTS).copied().collect::<Vec<_>>();
         let counted = near.into_iter().chain(far.sample(rng, MAX_FAR_COUNTS).copied());
-        let counts = counted.map(|member| Count::of(&member.record)).collect();
+        let counts = counted.map(Count::of).collect();
         Heartbeat { to, records, counts }
     }
 
+    /// Whether the next heartbeat announces a change to the whole domain.
+    fn takes_announcement(&mut self) -> bool {
+        let current = (self.own.slots, self.own.is_leaving);
+        if std::mem::replace(&mut self.announced, current) != current {
+            self.announcements_left = ANNOUNCING_HEARTBEATS;
+        }
+        let is_announcing = self.announcements_left > 0;
+        self.announcements_left = self.announcements_left.saturating_sub(1);
+        is_announcing
+    }
+
     fn update_suspect_after(&mut self) {
         let own = self.own.domain;
         let far = self.members.values().filter(|member| member.record.domain != own).count();
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -1,9 +1,10 @@
 //! Guards against live hosts being considered dead, dead ones going unnoticed, and a
 //! heartbeat cost that grows with the fleet, at the size expected in two years.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Record, SUSPECT_AFTER, View};
+use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Member, Record, SUSPECT_AFTER, View};
 use damaskhatch_policy::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -128,3 +129,59 @@
     assert!(view.is_silent(unknown, limit, start, at(9)));
     assert!(!view.is_silent(view.own.host, limit, start, at(100)));
 }
+
+/// Guards against the slots, the revision or the departure of a host that others forget because they
+/// hear an older record after a newer count.
+#[test]
+fn a_newer_count_makes_no_older_record_newer() {
+    let now = Instant::now();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let record = |count, slots| Record { count, slots, epoch: 2, ..view(2).own };
+    let (first, second, third) = (record(10, 0), record(15, 1), record(20, 1));
+    // Has the first record and hears by counts alone that the host lives.
+    let mut behind = view(0);
+    behind.merge(std::slice::from_ref(&first), &[], now);
+    // A third host that has the newest record tells the count.
+    let mut informed = view(1);
+    informed.merge(std::slice::from_ref(&third), &[], now);
+    behind.merge(&[], &informed.next_heartbeat(&mut rng, now).counts, now);
+    // Its older record must not replace a newer one elsewhere, whatever counts it has heard.
+    let mut receiver = view(3);
+    receiver.merge(std::slice::from_ref(&second), &[], now);
+    let heartbeat = behind.next_heartbeat(&mut rng, now);
+    assert!(heartbeat.records.iter().any(|sent| sent.host == first.host), "{heartbeat:?}");
+    receiver.merge(&heartbeat.records, &heartbeat.counts, now);
+    assert_eq!(receiver.slot_holder(second.domain, 0, now), Some(second.host));
+    // Nor must a count that has been heard keep the newer record out.
+    behind.merge(std::slice::from_ref(&second), &[], now);
+    assert_eq!(behind.slot_holder(second.domain, 0, now), Some(second.host));
+}
+
+/// Guards against a change of holder that hosts learn too late to charge requests there, or forget
+/// after they have learned it.
+#[test]
+fn a_domain_learns_a_new_holder_within_a_second_and_keeps_it() {
+    let mut fleet = Fleet::new();
+    (0..WARM_UP).for_each(|_| fleet.run_round());
+    let holder = fleet.views[0].own.host;
+    fleet.views[0].own.slots = 1;
+    let domain = fleet.views[0].own.domain;
+    let (mut known, mut forgotten) = (HashSet::new(), 0);
+    for round in 1..=25 {
+        fleet.run_round();
+        for (host, view) in fleet.views.iter().enumerate().skip(1) {
+            let has_slot = |member: &Member| member.record.slots == 1;
+            if view.member(holder).is_some_and(has_slot) {
+                known.insert(host);
+            } else {
+                forgotten += usize::from(known.remove(&host));
+            }
+        }
+        if HEARTBEAT_INTERVAL * round == Duration::from_secs(1) {
+            let near = (1..HOSTS).filter(|host| fleet.views[*host].own.domain == domain);
+            let unaware = near.filter(|host| !known.contains(host)).count();
+            assert_eq!(unaware, 0, "hosts of the domain that do not know the holder after 1 s");
+        }
+    }
+    assert_eq!(forgotten, 0, "hosts that knew the holder and forgot it; {} know it", known.len());
+}
