Count every call to the store by purpose, call and result

Cause: platform_calls_total counted some calls of some actors, so which calls a fleet pays for could only be told from a trial with log lines.

Change: the store's client counts each call that it sends; whoever makes a client names its purpose.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -125,7 +125,7 @@
     }
 
     fn client(&self) -> Client {
-        self.shared.store()
+        self.shared.store("configuration")
     }
 
     /// The configuration in the operators' own format; `None` if they use the sheet.
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -56,8 +56,6 @@
         let revision = self.state.head().revision;
         let pulled = async move { pull(source, revision, archive).await };
         ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, ctx| {
-            let result = if pulled.is_ok() { "ok" } else { "failed" };
-            actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
             let pause = match pulled {
                 Ok(pulled) => {
                     actor.store.record_result(None::<&Error>);
--- a/crates/damaskhatch/src/control/lineage/saved.rs
+++ b/crates/damaskhatch/src/control/lineage/saved.rs
@@ -84,7 +84,7 @@
         let key = format!("{BATCHES_PREFIX}{host}/{incarnation:x}-{batches:x}");
         let lease = lease.filter(|(_, at)| at.elapsed() < LEASE_TIME);
         let value = serde_json::to_string(&by_version(&streams)).expect("tags are numbers");
-        let client = self.shared.store();
+        let client = self.shared.store("lineage");
         let written = async move {
             let (lease, granted_at) = match lease {
                 Some(lease) => lease,
@@ -95,7 +95,6 @@
             Ok::<_, Error>((lease, granted_at))
         };
         ctx.spawn(written.into_actor(self).map(move |written, actor, ctx| {
-            actor.count_call(written.is_ok());
             let pause = match written {
                 Ok(lease) => {
                     actor.store.lease = Some(lease);
@@ -125,10 +124,9 @@
             return;
         }
         let began = Instant::now();
-        let client = self.shared.store();
+        let client = self.shared.store("lineage");
         let read = async move { client.list(BATCHES_PREFIX, false).await };
         ctx.spawn(read.into_actor(self).map(move |read, actor, _ctx| {
-            actor.count_call(read.is_ok());
             actor.store.is_loading = false;
             match read {
                 Ok(listing) => {
@@ -173,10 +171,9 @@
             ctx.run_later(RETRY_PAUSE, Self::load_served);
             return;
         }
-        let client = self.shared.store();
+        let client = self.shared.store("lineage");
         let read = async move { read_served(client.get(SERVED_KEY).await) };
         ctx.spawn(read.into_actor(self).map(|read, actor, ctx| {
-            actor.count_call(read.is_ok());
             actor.store.is_served_busy = false;
             match read {
                 Ok(Some((saved, version))) => {
@@ -214,7 +211,7 @@
         }
         self.store.is_served_busy = true;
         let known = known.map(|(_, version)| *version);
-        let client = self.shared.store();
+        let client = self.shared.store("lineage");
         let value = serde_json::to_string(&saved).expect("tags are numbers");
         let written = async move {
             let expect = match known {
@@ -226,7 +223,6 @@
             client.compare_and_swap(SERVED_KEY, &Swap { value, expect, lease: None }).await
         };
         ctx.spawn(written.into_actor(self).map(move |written, actor, ctx| {
-            actor.count_call(written.is_ok());
             match written {
                 Ok(version) => {
                     log::info!("event=served_versions_saved versions={saved:?}");
@@ -242,11 +238,6 @@
             }
         }));
     }
-
-    pub(super) fn count_call(&self, is_ok: bool) {
-        let result = if is_ok { "ok" } else { "failed" };
-        self.shared.metrics.platform_calls.with_label_values(&[result]).inc();
-    }
 }
 
 /// Decodes the versions that have served and their key's version; `None` if there is no such key.
--- a/crates/damaskhatch/src/control/lineage/search.rs
+++ b/crates/damaskhatch/src/control/lineage/search.rs
@@ -112,10 +112,9 @@
             return;
         }
         let began = Instant::now();
-        let client = self.shared.store();
+        let client = self.shared.store("lineage");
         let read = async move { client.list(catalogue.upstream_prefix, false).await };
         ctx.spawn(read.into_actor(self).map(move |read, actor, ctx| {
-            actor.count_call(read.is_ok());
             actor.searches.is_reading_list = false;
             match read {
                 Ok(listing) => {
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -92,7 +92,7 @@
             ctx.run_later(IDLE_PAUSE, Self::read_store);
             return;
         }
-        let (client, version) = (self.shared.store(), self.version);
+        let (client, version) = (self.shared.store("upstreams"), self.version);
         let prefix = self.catalogue.upstream_prefix;
         let read = async move {
             match version {
@@ -108,8 +108,6 @@
 
     /// Applies the result of a read; returns the pause until the next one.
     fn apply_read(&mut self, read: Result<message::Listing>) -> Duration {
-        let result = if read.is_ok() { "ok" } else { "failed" };
-        self.shared.metrics.platform_calls.with_label_values(&[result]).inc();
         match read {
             Ok(listing) => {
                 self.store.record_result(None::<&Error>);
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -175,7 +175,7 @@
             domain: host.domain.clone(),
             leaving: false,
         };
-        let client = self.shared.store();
+        let client = self.shared.store("registration");
         let registered = async move { client.register_host(&own).await };
         ctx.spawn(registered.into_actor(self).map(|registered, _actor, ctx| {
             if let Err(error) = registered {
@@ -191,15 +191,11 @@
             return;
         }
         self.list_read_at = Some(steady());
-        let client = self.shared.store();
+        let client = self.shared.store("host_list");
         let read = async move { client.list_hosts().await };
-        ctx.spawn(read.into_actor(self).map(|listed, actor, _ctx| {
-            let result = if listed.is_ok() { "ok" } else { "failed" };
-            actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
-            match listed {
-                Ok(listed) => actor.apply_host_list(&listed),
-                Err(error) => log::debug!("event=host_list_failed error={error}"),
-            }
+        ctx.spawn(read.into_actor(self).map(|listed, actor, _ctx| match listed {
+            Ok(listed) => actor.apply_host_list(&listed),
+            Err(error) => log::debug!("event=host_list_failed error={error}"),
         }));
     }
 
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -83,7 +83,7 @@
     }
 
     fn client(&self) -> Client {
-        self.shared.store()
+        self.shared.store("roster")
     }
 
     /// Runs the first step at once if the roster lists an earlier incarnation of this host: no host
@@ -197,7 +197,6 @@
 
     /// Updates the tenure from a reading; returns what was observed of the other hosts.
     fn apply_reading(&mut self, reading: Reading) -> Observed {
-        self.shared.metrics.platform_calls.with_label_values(&["ok"]).inc();
         self.enter_era();
         if reading.was_lost {
             self.tenure.lose_lease();
@@ -241,7 +240,6 @@
         let observed = match observed {
             Ok(observed) => observed,
             Err(error) => {
-                self.shared.metrics.platform_calls.with_label_values(&["failed"]).inc();
                 log::debug!("event=roster_step_failed error={error}");
                 self.publish_tenure();
                 return Box::pin(async { false }.into_actor(self));
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -157,7 +157,7 @@
     claim: Option<Claim>,
     change: &Change,
 ) -> Result<Outcome, Error> {
-    let client = shared.store();
+    let client = shared.store("stages");
     let holder = &shared.settings.host.name;
     let own = format!("{holder} {}", shared.incarnation);
     let Some(claim) = claim else {
--- a/crates/damaskhatch/src/control/strikes/saved.rs
+++ b/crates/damaskhatch/src/control/strikes/saved.rs
@@ -42,7 +42,7 @@
 impl Strikes {
     /// Reads the copy after a start, and again until that succeeds.
     pub(super) fn load(&self, ctx: &mut Context<Self>) {
-        let client = self.shared.store();
+        let client = self.shared.store("strikes");
         let loaded = async move { read(&client).await };
         ctx.spawn(loaded.into_actor(self).map(|loaded, actor, ctx| match loaded {
             Ok((saved, _version)) => {
@@ -87,12 +87,10 @@
         let now = Instant::now();
         let reports = self.attributed(now);
         let cleared = self.ledger.reports(now).into_iter().filter(|report| report.is_cleared);
-        let (client, cleared) = (self.shared.store(), cleared.collect::<Vec<_>>());
+        let (client, cleared) = (self.shared.store("strikes"), cleared.collect::<Vec<_>>());
         let known = digest(&reports);
         let written = async move { write(&client, &reports, &cleared).await };
         ctx.spawn(written.into_actor(self).map(move |written, actor, ctx| {
-            let result = if written.is_ok() { "ok" } else { "failed" };
-            actor.shared.metrics.platform_calls.with_label_values(&[result]).inc();
             match written {
                 Ok(others) => {
                     actor.store.known = known;
--- a/crates/damaskhatch/src/deployment.rs
+++ b/crates/damaskhatch/src/deployment.rs
@@ -7,6 +7,7 @@
 
 use damaskhatch_policy::registry::Entry;
 use damaskhatch_policy::sheet::Row;
+use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
 use damaskhatch_store::error::Error;
 use damaskhatch_store::prelude::{Client, Protocol};
@@ -51,7 +52,7 @@
     pub const OWN: Self = Self { protocol: Protocol::OWN, dialect: &Dialect::OWN, catalogue: None };
 
     /// Makes a client of the store at `address`, which shares `era` with the host's other clients.
-    pub const fn store(&self, address: SocketAddr, era: era::Tracker) -> Client {
-        Client::new(address, self.protocol, era)
+    pub const fn store(&self, address: SocketAddr, era: era::Tracker, calls: Calls) -> Client {
+        Client::new(address, self.protocol, era, calls)
     }
 }
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/OPERATIONS.md describes how to respond to a change of each metric.
 
+use damaskhatch_store::calls;
 use prometheus::{
     GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -61,7 +62,7 @@
     pub peer_bytes: IntCounter,
     /// Messages sent to other hosts, by kind.
     pub peer_frames: IntCounterVec,
-    /// Calls to the platform, by result.
+    /// Calls to the platform's store, by purpose, call and result.
     pub platform_calls: IntCounterVec,
     /// The configuration revision in force.
     pub revision: IntGauge,
@@ -130,7 +131,7 @@
             frames_dropped: counters(r, "frames_dropped_total", "Frames dropped.", &["reason"]),
             peer_bytes: counter(r, "peer_bytes_total", "Bytes sent to other hosts."),
             peer_frames: counters(r, "peer_frames_total", "Frames sent.", &["kind"]),
-            platform_calls: counters(r, "platform_calls_total", "Platform calls.", &["result"]),
+            platform_calls: counters(r, "platform_calls_total", "Platform calls.", &calls::LABELS),
             revision: gauge(r, "revision", "Configuration revision in force."),
             hosts_alive: gauge(r, "hosts_alive", "Hosts that count as alive."),
             slots_held: gauge(r, "slots_held", "Bucket slots held."),
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -11,6 +11,7 @@
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::rendezvous;
 use damaskhatch_policy::strike::Ledger;
+use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
 use damaskhatch_store::prelude::Client;
 use tokio::sync::watch;
@@ -130,9 +131,10 @@
         hosts.members().any(|member| member.is_alive(now) && member.record.revision > revision)
     }
 
-    /// Makes a client of the platform's store.
-    pub fn store(&self) -> Client {
-        self.deployment.store(self.settings.platform.address, self.era.clone())
+    /// Makes a client of the platform's store, whose calls are counted as for `purpose`.
+    pub fn store(&self, purpose: &'static str) -> Client {
+        let calls = Calls::new(self.metrics.platform_calls.clone(), purpose);
+        self.deployment.store(self.settings.platform.address, self.era.clone(), calls)
     }
 
     /// Whether the configuration is fresh enough for callers' keys to be accepted.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -10,6 +10,7 @@
 use damaskhatch_policy::position::Position;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::calls::Calls;
 use crate::era;
 use crate::error::{Error, Result};
 use crate::message::{Grant, Host, Item, Listing, Swap};
@@ -36,13 +37,19 @@
     address: SocketAddr,
     protocol: Protocol,
     era: era::Tracker,
+    calls: Calls,
 }
 
 impl Client {
-    /// Creates a client of the store at `address` that speaks `protocol`, and records the eras
-    /// that it sees in `era`.
-    pub const fn new(address: SocketAddr, protocol: Protocol, era: era::Tracker) -> Self {
-        Self { address, protocol, era }
+    /// Creates a client of the store at `address` that speaks `protocol`, records the eras that it
+    /// sees in `era` and counts its calls in `calls`.
+    pub const fn new(
+        address: SocketAddr,
+        protocol: Protocol,
+        era: era::Tracker,
+        calls: Calls,
+    ) -> Self {
+        Self { address, protocol, era, calls }
     }
 
     /// Writes this host's entry in the list of hosts; does nothing where the platform keeps
@@ -189,8 +196,14 @@
         }
     }
 
-    /// Sends a call with the store's own numbers, which are those of the era `sent_in`.
+    /// Sends and counts a call with the store's own numbers, which are those of the era `sent_in`.
     async fn call_in(&self, sent_in: u64, call: Call<'_>, wait: Duration) -> Result<Response> {
+        let result = self.send(sent_in, call, wait).await;
+        self.calls.count(&call, result.as_ref().err());
+        result
+    }
+
+    async fn send(&self, sent_in: u64, call: Call<'_>, wait: Duration) -> Result<Response> {
         let Request { method, target, body } =
             (self.protocol.encode)(&call).ok_or(Error::Unsupported)?;
         let mut request = exchange::Request::builder()
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 //! again. The protocol is in
 //! [docs/PLATFORM.md](../../../docs/PLATFORM.md).
 
+pub mod calls;
 pub mod client;
 pub mod era;
 pub mod error;
--- a/crates/store/tests/era.rs
+++ b/crates/store/tests/era.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
 use damaskhatch_store::message::{Grant, Swap};
 use damaskhatch_store::prelude::{Client, Error, Protocol};
@@ -56,7 +57,7 @@
     }
 
     fn client(&self) -> Client {
-        Client::new(self.address, Protocol::OWN, era::Tracker::default())
+        Client::new(self.address, Protocol::OWN, era::Tracker::default(), Calls::unreported())
     }
 }
 
--- a/crates/store/tests/transfers.rs
+++ b/crates/store/tests/transfers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
 use damaskhatch_store::prelude::{Client, Error, Protocol};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -39,7 +40,7 @@
 #[tokio::test]
 async fn a_value_is_read_as_long_as_its_bytes_arrive() {
     let address = start_store(10, true).await;
-    let client = Client::new(address, Protocol::OWN, era::Tracker::default());
+    let client = Client::new(address, Protocol::OWN, era::Tracker::default(), Calls::unreported());
     let item = client.get("key").await.expect("the whole value");
     assert_eq!(item.value.len(), 100_000);
 }
@@ -47,7 +48,7 @@
 #[tokio::test]
 async fn a_read_fails_soon_after_its_body_stops() {
     let address = start_store(3, false).await;
-    let client = Client::new(address, Protocol::OWN, era::Tracker::default());
+    let client = Client::new(address, Protocol::OWN, era::Tracker::default(), Calls::unreported());
     let started = Instant::now();
     let read = client.get("key").await;
     assert!(matches!(read, Err(Error::Unreachable(_))), "{read:?}");
