Resume streams whose engine stalls, also one that drips bytes

Cause: a stream whose engine went silent, or sent comments or a byte at a time, waited for it up to the route's time limit; only a body that broke off was resumed.

The first engine is read on meanwhile, and stays if it goes on first, or if no other can be had.

--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -8,11 +8,12 @@
 use std::io;
 
 use bytes::Bytes;
-use damaskhatch_exchange::Framing;
+use damaskhatch_exchange::{Framing, Result};
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::ending::{Content, Verdict};
 use damaskhatch_policy::prelude::Instant;
 use damaskhatch_policy::routing::Repeat;
+use damaskhatch_policy::silence;
 use futures_util::stream::{Stream, try_unfold};
 use tokio::time::timeout_at;
 
@@ -21,6 +22,7 @@
 use super::pair::{Progress, Running, start};
 use super::request::Routed;
 use crate::entry::Entry;
+use crate::entry::refusal::Refusal;
 use crate::upstream::events::{Splitter, is_event_stream};
 
 /// What is needed to forward a stream and to resume it at another engine.
@@ -49,6 +51,8 @@
     is_ended: bool,
     /// When the current engine last sent bytes.
     last_byte_at: Instant,
+    /// When the engine is taken for stalled.
+    silence: silence::Watch,
     /// Bytes received after the last complete event, when the body ended.
     rest_bytes: usize,
 }
@@ -57,6 +61,7 @@
 ///
 /// An error item ends it as one that broke off.
 pub fn stream(parts: Parts) -> impl Stream<Item = io::Result<Bytes>> {
+    let target_latency = parts.routed.route.target_latency;
     let state = State {
         has_events: is_event_stream(&parts.running.response.head.headers, true),
         has_opaque_bytes: false,
@@ -64,6 +69,7 @@
         splitter: Splitter::default(),
         is_ended: false,
         last_byte_at: Instant::now(),
+        silence: silence::Watch::new(target_latency, Instant::now()),
         rest_bytes: 0,
     };
     try_unfold(state, async |mut state| Ok(state.next().await?.map(|bytes| (bytes, state))))
@@ -74,13 +80,22 @@
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let limit = self.parts.routed.limit;
-            let Ok(read) = timeout_at(limit, self.parts.running.response.next_chunk()).await else {
-                self.examine_silent();
-                self.end("time_limit");
-                return Err(io::Error::new(
-                    io::ErrorKind::TimedOut,
-                    "stream not complete at the time limit of its request",
-                ));
+            let stalled_at = self.silence.stalled_at().filter(|_| self.is_resumable());
+            let until = stalled_at.map_or(limit, |stalled_at| stalled_at.min(limit));
+            let read = match timeout_at(until, self.parts.running.response.next_chunk()).await {
+                Ok(read) => read,
+                Err(_elapsed) if until < limit => match self.replace_stalled().await {
+                    Some(read) => read,
+                    None => continue,
+                },
+                Err(_elapsed) => {
+                    self.examine_silent();
+                    self.end("time_limit");
+                    return Err(io::Error::new(
+                        io::ErrorKind::TimedOut,
+                        "stream not complete at the time limit of its request",
+                    ));
+                }
             };
             match read {
                 Some(Ok(bytes)) => {
@@ -140,11 +155,14 @@
             self.has_opaque_bytes = true;
             return Ok(bytes);
         }
-        let had_event = self.splitter.has_event();
+        let (had_event, last_id) = (self.splitter.has_event(), self.splitter.last_id());
         let complete = self.splitter.push(&bytes).map_err(|gap| {
             self.end("event_out_of_order");
             io::Error::other(gap)
         })?;
+        if had_event != self.splitter.has_event() || last_id != self.splitter.last_id() {
+            self.silence.record_event(Instant::now());
+        }
         if !had_event && self.splitter.has_event() {
             let took = self.parts.routed.arrived_at.elapsed();
             self.parts.entry.shared.metrics.first_token.observe(took.as_secs_f64());
@@ -155,38 +173,96 @@
     /// Resumes at another engine after the last complete event, or fails for `reason`.
     async fn resume(&mut self, reason: String) -> io::Result<()> {
         self.rest_bytes = self.splitter.rest_bytes();
-        let last = self.splitter.resume();
-        let Parts { entry, routed, progress, running } = &mut self.parts;
+        self.splitter.resume();
+        let Parts { entry, routed, progress, running } = &self.parts;
         let error = io::Error::other(reason.clone());
         let failure = Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true };
         let upstream = &running.reservation.upstream;
         let (sent_at, history) = (running.sent_at, progress.history);
         let attempt = Attempt { upstream, sent_at, phase: "stream", history };
         record_failure(entry, routed, attempt, &failure).await;
-        progress.excluded.insert(upstream.tag);
-        if let Some(last) = last {
-            progress.last_event = Some(last);
-            progress.tokens_done = last as u32 * running.event_tokens;
+        if !self.is_resumable() || !self.try_acquire_retry() {
+            self.end("upstream_broke_off");
+            return Err(error);
+        }
+        self.exclude_current();
+        let Parts { entry, routed, progress, .. } = &mut self.parts;
+        let started = start(entry, routed, progress).await;
+        if !self.continue_with(started) {
+            self.end("not_resumed");
+            return Err(error);
+        }
+        Ok(())
+    }
+
+    /// Resumes a stream whose engine has stalled at another engine, or goes on waiting for this one if
+    /// no other can be had.
+    ///
+    /// Returns what the stalled engine has sent if it goes on before another one is found.
+    async fn replace_stalled(&mut self) -> Option<Option<Result<Bytes>>> {
+        let Parts { entry, routed, running, .. } = &self.parts;
+        entry.shared.journal.record(
+            &routed.label,
+            format_args!(
+                "event=stream_stalled upstream={} last_event={} rest_bytes={}",
+                running.reservation.upstream.instance,
+                self.splitter.last_id().unwrap_or(0),
+                self.splitter.rest_bytes()
+            ),
+        );
+        if !self.try_acquire_retry() {
+            self.silence.waive();
+            return None;
         }
+        self.exclude_current();
+        let Parts { entry, routed, progress, running } = &mut self.parts;
+        let started = tokio::select! {
+            biased;
+            read = running.response.next_chunk() => return Some(read),
+            started = start(entry, routed, progress) => started,
+        };
+        if self.continue_with(started) {
+            self.splitter.resume();
+        } else {
+            self.silence.waive();
+        }
+        None
+    }
+
+    /// Whether the route and what was forwarded so far allow the stream to go on at another engine.
+    fn is_resumable(&self) -> bool {
         // Events without ids leave no way to name the one after which to resume.
         let is_untouched = !self.splitter.has_event() && !self.has_opaque_bytes;
-        let has_resume_point = is_untouched || last.is_some();
-        let is_resumable = has_resume_point && routed.route.repeat == Repeat::ResumableStream;
-        if !is_resumable || !try_acquire_retry(entry, routed, progress.history) {
-            self.end("upstream_broke_off");
-            return Err(error);
+        let has_resume_point = is_untouched || self.splitter.last_id().is_some();
+        has_resume_point && self.parts.routed.route.repeat == Repeat::ResumableStream
+    }
+
+    fn try_acquire_retry(&self) -> bool {
+        let Parts { entry, routed, progress, .. } = &self.parts;
+        try_acquire_retry(entry, routed, progress.history)
+    }
+
+    /// Has the rest of the stream start after the last complete event, at another engine.
+    fn exclude_current(&mut self) {
+        let Parts { progress, running, .. } = &mut self.parts;
+        progress.excluded.insert(running.reservation.upstream.tag);
+        if let Some(last) = self.splitter.last_id() {
+            progress.last_event = Some(last);
+            progress.tokens_done = last as u32 * running.event_tokens;
         }
-        match start(entry, routed, progress).await {
+    }
+
+    /// Goes on with the response of another engine; returns whether that is possible.
+    fn continue_with(&mut self, started: std::result::Result<Running, Refusal>) -> bool {
+        match started {
             Ok(next) if can_continue(&next, self.has_events) => {
-                *running = next;
+                self.parts.running = next;
                 self.rest_bytes = 0;
                 self.last_byte_at = Instant::now();
-                Ok(())
-            }
-            _ => {
-                self.end("not_resumed");
-                Err(error)
+                self.silence.restart(Instant::now());
+                true
             }
+            _ => false,
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod routing;
 pub mod schedule;
 pub mod sheet;
+pub mod silence;
 pub mod stages;
 pub mod standby;
 pub mod strike;
