Do not let a stalled engine's bytes end the search for another one

Cause: found while reading the diff. A byte of the stalled engine cancelled the search, which began again with the next timeout and took another retry of the budget. An engine that drips faster than another one responds kept its stream.

Change: bytes that complete no event are kept and the search goes on; they count for the judgement of the end if the response ends first.

--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -7,7 +7,7 @@
 
 use std::io;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use damaskhatch_exchange::{Framing, Result};
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::ending::{Content, Verdict};
@@ -57,6 +57,16 @@
     rest_bytes: usize,
 }
 
+/// What came of a stalled stream first.
+enum Found {
+    /// The stalled engine completed an event.
+    Event,
+    /// Its response ended.
+    End(Option<Result<Bytes>>),
+    /// Another engine responded, or none can be had.
+    Other(Box<std::result::Result<Running, Refusal>>),
+}
+
 /// Returns the body of the caller's response, made of complete events only.
 ///
 /// An error item ends it as one that broke off.
@@ -198,7 +208,8 @@
     /// Resumes a stream whose engine has stalled at another engine, or goes on waiting for this one if
     /// no other can be had.
     ///
-    /// Returns what the stalled engine has sent if it goes on before another one is found.
+    /// Returns what the stalled engine has sent if it completes an event before another one is found,
+    /// and the end of its response.
     async fn replace_stalled(&mut self) -> Option<Option<Result<Bytes>>> {
         let Parts { entry, routed, running, .. } = &self.parts;
         entry.shared.journal.record(
@@ -216,17 +227,39 @@
         }
         self.exclude_current();
         let Parts { entry, routed, progress, running } = &mut self.parts;
-        let started = tokio::select! {
-            biased;
-            read = running.response.next_chunk() => return Some(read),
-            started = start(entry, routed, progress) => started,
+        let mut received = BytesMut::new();
+        let found = {
+            let mut started = std::pin::pin!(start(entry, routed, progress));
+            loop {
+                let read = tokio::select! {
+                    biased;
+                    read = running.response.next_chunk() => read,
+                    started = &mut started => break Found::Other(Box::new(started)),
+                };
+                // Bytes that complete no event must not end the search: more of them may follow.
+                let Some(Ok(bytes)) = read else { break Found::End(read) };
+                received.extend_from_slice(&bytes);
+                if self.splitter.would_progress(&received) {
+                    break Found::Event;
+                }
+            }
         };
-        if self.continue_with(started) {
-            self.splitter.resume();
-        } else {
-            self.silence.waive();
+        match found {
+            Found::Event => return Some(Some(Ok(received.freeze()))),
+            Found::End(read) => {
+                // They may be the beginning of an event, which decides whether this is a sound end.
+                let _comments = self.splitter.push(&received);
+                return Some(read);
+            }
+            Found::Other(started) => {
+                if self.continue_with(*started) {
+                    self.splitter.resume();
+                    return None;
+                }
+                self.silence.waive();
+            }
         }
-        None
+        (!received.is_empty()).then(|| Some(Ok(received.freeze())))
     }
 
     /// Whether the route and what was forwarded so far allow the stream to go on at another engine.
--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -36,7 +36,7 @@
 }
 
 /// Finds the ends of lines in the bytes of one response.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Lines {
     /// The bytes that have not been returned.
     pending: BytesMut,
@@ -88,7 +88,7 @@
 ///
 /// Comments between two events are passed on at once, because engines send them to keep a
 /// connection alive.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Splitter {
     lines: Lines,
     /// Whether a field of an event has been received, but not the blank line that ends it.
@@ -190,6 +190,17 @@
         self.has_event
     }
 
+    /// The number of complete events so far, as far as ids and the first event show it.
+    const fn progress(&self) -> (bool, Option<u64>) {
+        (self.has_event, self.last_id)
+    }
+
+    /// Whether `bytes` would complete an event, or show a gap, rather than a comment or nothing.
+    pub fn would_progress(&self, bytes: &[u8]) -> bool {
+        let mut ahead = self.clone();
+        ahead.push(bytes).is_err() || ahead.progress() != self.progress()
+    }
+
     /// The number of bytes received after the last complete event or comment.
     pub fn rest_bytes(&self) -> usize {
         self.lines.pending.len()
