--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -1,10 +1,10 @@
 //! Queries other hosts for what they read from the store.
 //!
 //! One host of a domain reads the store and a second one stands by; the others query them, and so
-//! does a reader that cannot reach the store. A query carries a serial, and the reply carries the age of
-//! the replying host's configuration. That age is added to the time since the query was
-//! sent, so the result is never below the true age, also along a chain of hosts that
-//! query each other.
+//! does a reader that cannot reach the store. A query carries a serial, and the reply carries the
+//! age of the replying host's configuration. That age is added to the time since the query was
+//! sent, so the result is never below the true age, also along a chain of hosts that query each
+//! other.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/policy/src/standby.rs
+++ b/crates/policy/src/standby.rs
@@ -2,7 +2,7 @@
 //!
 //! One host of a domain reads the store for all. A second one stands by: it follows the first like
 //! any other host, and reads as soon as the first no longer keeps the configuration fresh, before
-//! the others would all begin to. See [docs/DESIGN.md](../../../docs/DESIGN.md#store-calls).
+//! the others would all begin to. See [docs/DESIGN.md](../../../docs/DESIGN.md#age-of-the-configuration).
 
 use crate::prelude::*;
 
