Have two hosts of a domain read the store again

Change: the standby is taken out; the stale reads of the roster, the larger part of the saving, stay, and so does that a host which begins to read asks for changes without a wait.

--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -10,7 +10,6 @@
 use damaskhatch_policy::config::{Applied, Head, Snapshot, State};
 use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::sheet::Row;
-use damaskhatch_policy::standby::Standby;
 use damaskhatch_store::error::Error;
 use damaskhatch_store::prelude::{Client, Store};
 use damaskhatch_wire::prelude::Body;
@@ -91,7 +90,6 @@
     version: u64,
     /// Whether the last check had this host read the store.
     is_reading: bool,
-    standby: Standby,
     is_pulling: bool,
     /// The number of pulls that failed since one succeeded.
     failed_pulls: u32,
@@ -125,7 +123,6 @@
             state: State::default(),
             version: 0,
             is_reading: false,
-            standby: Standby::default(),
             is_pulling: false,
             failed_pulls: 0,
             is_saving: false,
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -30,7 +30,7 @@
         let reads_directly = self.foreign().is_some()
             && !is_pull_due
             && self.shared.config_age().is_none_or(|age| age > DIRECT_READ_AFTER);
-        if !self.shared.must_read(&mut self.standby) && !reads_directly {
+        if !self.shared.is_reader() && !reads_directly {
             self.is_reading = false;
             ctx.run_later(WATCH_PAUSE, Self::watch_store);
             return;
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -1,7 +1,7 @@
 //! Queries other hosts for what they read from the store.
 //!
-//! One host of a domain reads the store and a second one stands by; the others query them, and so
-//! does a reader that cannot reach the store. A query carries a serial, and the reply carries the
+//! Two hosts of a domain read the store; the others query them, and so does a reader that cannot
+//! reach the store. A query carries a serial, and the reply carries the
 //! age of the replying host's configuration. That age is added to the time since the query was
 //! sent, so the result is never below the true age, also along a chain of hosts that query each
 //! other.
@@ -84,7 +84,7 @@
 
     /// Sends the next query if the configuration is old enough to need one.
     fn send_query(&mut self) {
-        let is_reader = self.shared.is_owner(READER_ROLE, 1);
+        let is_reader = self.shared.is_reader();
         let threshold = if is_reader { READER_QUERIES_AFTER } else { Duration::ZERO };
         if self.shared.config_age().is_some_and(|age| age < threshold) {
             return;
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 
 use damaskhatch_policy::registry::{Change, Entry, Registry};
-use damaskhatch_policy::standby::Standby;
 use damaskhatch_store::error::{Error, Result};
 use damaskhatch_store::message::{self, Item};
 use tokio::sync::watch;
@@ -44,7 +43,6 @@
     version: Option<u64>,
     /// The versions of malformed entries, by key, each of which is logged once.
     left_out: HashMap<String, u64>,
-    standby: Standby,
     store: Dependency,
 }
 
@@ -76,7 +74,6 @@
             registry: Registry::default(),
             version: None,
             left_out: HashMap::new(),
-            standby: Standby::default(),
             store: Dependency::new("store", "listing"),
         }
     }
@@ -90,7 +87,7 @@
         }
         let reads_directly = self.registry.is_empty()
             || self.shared.config_age().is_none_or(|a| a > DIRECT_READ_AFTER);
-        if !self.shared.must_read(&mut self.standby) && !reads_directly {
+        if !self.shared.is_reader() && !reads_directly {
             self.version = None;
             ctx.run_later(IDLE_PAUSE, Self::read_store);
             return;
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -10,7 +10,6 @@
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::rendezvous;
-use damaskhatch_policy::standby::Standby;
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
@@ -116,17 +115,11 @@
         !self.settings.host.seeds.is_empty() && self.started.elapsed() < SETTLING_TIME
     }
 
-    /// Whether this host reads the store for its domain, or stands by to do so.
+    /// Whether this host reads the store for its domain.
     pub fn is_reader(&self) -> bool {
         self.is_owner(READER_ROLE, READERS_PER_DOMAIN)
     }
 
-    /// Whether this host has to read the store for its domain now.
-    pub fn must_read(&self, standby: &mut Standby) -> bool {
-        let is_due = standby.must_read(self.config_age(), Instant::now());
-        self.is_owner(READER_ROLE, 1) || (is_due && self.is_reader())
-    }
-
     /// How long ago the configuration was confirmed to be the newest; `None` if it never was.
     pub fn config_age(&self) -> Option<Duration> {
         self.freshness.borrow().age(crate::clock::boot_time())
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,7 +33,6 @@
 pub mod sheet;
 pub mod silence;
 pub mod stages;
-pub mod standby;
 pub mod strike;
 pub mod suspect;
 pub mod tenure;
