--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -165,12 +165,12 @@
             self.has_opaque_bytes = true;
             return Ok(bytes);
         }
-        let (had_event, last_id) = (self.splitter.has_event(), self.splitter.last_id());
+        let (had_event, before) = (self.splitter.has_event(), self.splitter.progress());
         let complete = self.splitter.push(&bytes).map_err(|gap| {
             self.end("event_out_of_order");
             io::Error::other(gap)
         })?;
-        if had_event != self.splitter.has_event() || last_id != self.splitter.last_id() {
+        if self.splitter.progress() != before {
             self.silence.record_event(Instant::now());
         }
         if !had_event && self.splitter.has_event() {
--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -190,8 +190,8 @@
         self.has_event
     }
 
-    /// The number of complete events so far, as far as ids and the first event show it.
-    const fn progress(&self) -> (bool, Option<u64>) {
+    /// How far the complete events go: whether there is one, and the id of the last.
+    pub const fn progress(&self) -> (bool, Option<u64>) {
         (self.has_event, self.last_id)
     }
 
