Follow the list of upstreams past a reader whose connections stall

Cause: a host that follows a reader's list asks one host at a time, for up to 4 s if the connection stalls, and then the same host again. Meanwhile requests go on to upstreams that are leaving. All hosts of a domain also asked the same one of its two readers first, and after each full read of the list by a reader all its followers needed the full list, of some hundred kB with 3,000 upstreams.

Change: a pull that takes longer than 250 ms, or fails, sends the next one to another host, beside the stalled one. Hosts are divided among the readers of a domain. A full list that replaces an earlier one keeps the differences as changes; only a host whose list is from between the two needs all of it.

--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -40,6 +40,11 @@
 /// A reader's age rises up to the length of two watches, 2 s, so that a host that gets every second
 /// reply to its queries stays below this. It leaves time for a read before keys are refused.
 pub const DIRECT_READ_AFTER: Duration = Duration::from_millis(2_700);
+/// The time from which a pull of the list of upstreams counts as stalled, so that the next one goes to
+/// another host.
+///
+/// Less than [`QUERY_INTERVAL`], so that the next reply which shows a newer list already sees it.
+const PULL_PATIENCE: Duration = Duration::from_millis(250);
 /// How long a reply to a query is accepted.
 const QUERY_TTL: Duration = Duration::from_secs(2);
 
@@ -55,9 +60,11 @@
     open_queries: HashMap<u64, BootTime>,
     /// The serial of the latest query.
     serial: u64,
-    /// The number of queries that got no reply or a stale one; chooses the host to query.
+    /// The number of queries that got no reply or a stale one, and of pulls that stalled or failed;
+    /// chooses the host to query.
     misses: usize,
-    is_pulling: bool,
+    /// The hosts from which the list of upstreams is being pulled, with the time of the request.
+    pulls: HashMap<SocketAddr, Instant>,
 }
 
 impl Follow {
@@ -78,7 +85,7 @@
             open_queries: HashMap::new(),
             serial: 0,
             misses: 0,
-            is_pulling: false,
+            pulls: HashMap::new(),
         }
     }
 
@@ -116,7 +123,8 @@
         domains.dedup();
         let role = Tag::of(READER_ROLE);
         let readers = domains.iter().flat_map(|domain| {
-            rendezvous::owners(role, hosts.eligible(*domain, now), READERS_PER_DOMAIN)
+            let owners = rendezvous::owners(role, hosts.eligible(*domain, now), READERS_PER_DOMAIN);
+            rendezvous::order_for(owners, self.shared.host)
         });
         let others = readers.filter(|host| *host != self.shared.host);
         others.filter_map(|host| hosts.address(host)).collect()
@@ -150,11 +158,19 @@
     }
 
     /// Pulls the list of upstreams from a peer that has a newer version of it.
+    ///
+    /// While a pull is stalled, another one goes to the next host: a request may reach an upstream that
+    /// is leaving for as long as the list is late.
     fn pull_listing(&mut self, from: SocketAddr, ctx: &mut Context<Self>) {
-        if self.is_pulling {
+        let now = Instant::now();
+        if self.pulls.values().any(|since| now.duration_since(*since) < PULL_PATIENCE) {
+            return;
+        }
+        if self.pulls.contains_key(&from) {
+            self.misses += 1;
             return;
         }
-        self.is_pulling = true;
+        self.pulls.insert(from, now);
         let own = self.shared.settings.host.peer.ip();
         let (codec, metrics) = (SharedCodec::clone(&self.codec), self.shared.metrics.clone());
         let since = self.shared.upstreams().version();
@@ -169,7 +185,10 @@
             }
         };
         ctx.spawn(reply.into_actor(self).map(move |reply, actor, _ctx| {
-            actor.is_pulling = false;
+            actor.pulls.remove(&from);
+            if reply.is_err() {
+                actor.misses += 1;
+            }
             match reply {
                 Ok(Body::Upstreams { version, is_partial, mut changes, software }) => {
                     for ((_, change), software) in changes.iter_mut().zip(software) {
@@ -204,7 +223,7 @@
 impl Supervised for Follow {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
         self.open_queries.clear();
-        self.is_pulling = false;
+        self.pulls.clear();
     }
 }
 
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -58,6 +58,8 @@
 
 /// The maximum number of changes kept for hosts that know an earlier version.
 const MAX_RECENT_CHANGES: usize = 1_024;
+/// The maximum number of full listings over which the differences are kept.
+const MAX_JUMPS: usize = 16;
 
 #[derive(Debug, Clone, PartialEq)]
 struct Recent {
@@ -75,8 +77,12 @@
     version: u64,
     /// The latest changes, oldest first.
     recent: VecDeque<Recent>,
-    /// The version after which `recent` has every change.
+    /// The version after which `recent` has every change, or the difference over a jump.
     complete_after: u64,
+    /// The versions before and after each full listing that replaced an earlier one, oldest first.
+    ///
+    /// An entry may have come and gone between the two, which `recent` does not show.
+    jumps: VecDeque<(u64, u64)>,
 }
 
 impl Registry {
@@ -87,17 +93,24 @@
 
     /// Replaces all entries by a full listing, by key, as of `version`.
     ///
-    /// The changes up to that version are not known, so a host with an earlier version can
-    /// only be sent the full list.
+    /// The differences are kept as changes at that version, so that hosts which follow this one need
+    /// the full list only if they are behind the first listing, or between this one and the last read.
     pub fn replace(&mut self, entries: HashMap<String, Entry>, version: u64) {
-        if version <= self.version && self.entries == entries {
+        if self.version == 0 {
+            self.entries = entries;
+            self.version = version;
+            self.complete_after = version;
+            self.rebuild_index();
             return;
         }
-        self.entries = entries;
-        self.version = self.version.max(version);
-        self.recent.clear();
-        self.complete_after = self.version;
-        self.rebuild_index();
+        let version = version.max(self.version);
+        self.jumps.push_back((self.version, version));
+        let removed = self.entries.keys().filter(|key| !entries.contains_key(*key));
+        let removed: Vec<_> = removed.map(|key| (key.clone(), Change::Removed)).collect();
+        let listed = entries.into_iter().map(|(key, entry)| (key, Change::Listed(entry)));
+        self.apply(removed.into_iter().chain(listed), version);
+        self.version = version;
+        self.drop_oldest_changes();
     }
 
     /// Applies changes in order, up to `version`; returns whether any had an effect.
@@ -143,7 +156,8 @@
     /// of the change itself. A host may therefore receive a change twice, which is harmless
     /// since the order is kept.
     pub fn changes_since(&self, version: u64) -> Option<Vec<(String, Change)>> {
-        if version < self.complete_after || version > self.version {
+        let is_in_jump = self.jumps.iter().any(|(from, to)| (from + 1..*to).contains(&version));
+        if version < self.complete_after || version > self.version || is_in_jump {
             return None;
         }
         let later = self.recent.iter().filter(|recent| recent.version > version);
@@ -155,6 +169,10 @@
             let oldest = self.recent.pop_front().map_or(0, |recent| recent.version);
             self.complete_after = self.complete_after.max(oldest);
         }
+        self.jumps.retain(|(_, to)| *to > self.complete_after);
+        if self.jumps.len() > MAX_JUMPS {
+            self.complete_after = self.jumps.pop_front().map_or(0, |(_, to)| to);
+        }
     }
 
     /// The upstreams of a service that accept new requests.
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -18,6 +18,15 @@
     hosts
 }
 
+/// Orders owners for one of the hosts that ask them, so that about as many ask each of them first.
+pub fn order_for(mut owners: Vec<Tag>, host: Tag) -> Vec<Tag> {
+    if !owners.is_empty() {
+        let first = score(host, owners[0]) % owners.len() as u64;
+        owners.rotate_left(first as usize);
+    }
+    owners
+}
+
 /// Mixes role and host with the finalizer of `SplitMix64`.
 fn score(role: Tag, host: Tag) -> u64 {
     let mut mixed = role.0 ^ host.0.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15;
--- a/crates/policy/tests/registry.rs
+++ b/crates/policy/tests/registry.rs
@@ -137,3 +137,29 @@
     assert!(!registry.apply([("u".to_owned(), same)], 4_000), "nothing changed");
     assert_eq!(registry.version(), before);
 }
+
+/// Guards against a fleet whose hosts all need the full list because a reader has read it again, for
+/// example after its watch was cut.
+#[test]
+fn a_list_that_was_read_again_differs_by_its_changes_only() {
+    let listed = |names: &[&str], port| {
+        names.iter().map(|name| ((*name).to_owned(), entry(name, port))).collect::<HashMap<_, _>>()
+    };
+    let mut reader = Registry::default();
+    reader.replace(listed(&["u1", "u2", "u3"], 1), 10);
+    let mut follower = reader.clone();
+    let mut entries = listed(&["u1", "u2"], 1);
+    entries.extend(listed(&["u4"], 2));
+    entries.get_mut("u2").expect("an entry").is_leaving = true;
+    reader.replace(entries, 20);
+    let changes = reader.changes_since(10).expect("the reader knows what has changed");
+    assert_eq!(changes.len(), 3, "{changes:?}");
+    follower.apply(changes, 20);
+    follower.advance_version(20);
+    assert_eq!(content(&follower), content(&reader));
+    // Read once more without a difference, at a later version of the store.
+    reader.replace(content(&follower), 30);
+    assert_eq!(reader.changes_since(20), Some(Vec::new()));
+    assert_eq!(reader.version(), 30);
+    assert_eq!(reader.changes_since(9), None, "before the first list that was read");
+}
