Keep connections to upstreams where a request may be repeated

Cause: each call to an upstream opened a connection, five for a stream: two reservations and the release between them, the prefill, the decode.

Change: exchange::pool keeps connections for idempotent requests on routes and for prefills. A response must repeat the id of its request, once. The three calls of a reservation, whose responses name no request, share a connection of their own. What may run once goes on a new connection as before. A kept connection that ends under a request is not the upstream's fault; the request is sent again over a new one, and a retry is spent.

Tried and taken back: a reservation with the same name as the trial before it counted as a copy of a response.

Tests: exchange/pool (second copies at three moments, closes, truncation at every byte, a model of 150 sequences of responses); connections in platform (through a host).

--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -9,6 +9,7 @@
 use actix::Arbiter;
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
+use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::limit;
@@ -73,6 +74,7 @@
         strikes: strikes_seen,
         limits: limits_seen,
         availability: Availability::default(),
+        pool: Pool::default(),
         loads: Loads::default(),
         resuming: Loads::default(),
         era: era::Tracker::default(),
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -64,6 +64,9 @@
     pub peer_frames: IntCounterVec,
     /// Calls to the platform's store, by purpose, call and result.
     pub platform_calls: IntCounterVec,
+    /// Requests that may be repeated, by the connection that they were sent on: `new`, `kept`, or
+    /// `stale` where a kept one ended under them and they were sent again.
+    pub upstream_exchanges: IntCounterVec,
     /// The configuration revision in force.
     pub revision: IntGauge,
     /// Hosts considered alive, this one included.
@@ -132,6 +135,12 @@
             peer_bytes: counter(r, "peer_bytes_total", "Bytes sent to other hosts."),
             peer_frames: counters(r, "peer_frames_total", "Frames sent.", &["kind"]),
             platform_calls: counters(r, "platform_calls_total", "Platform calls.", &calls::LABELS),
+            upstream_exchanges: counters(
+                r,
+                "upstream_exchanges_total",
+                "Repeatable requests to upstreams.",
+                &["connection"],
+            ),
             revision: gauge(r, "revision", "Configuration revision in force."),
             hosts_alive: gauge(r, "hosts_alive", "Hosts that count as alive."),
             slots_held: gauge(r, "slots_held", "Bucket slots held."),
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -4,12 +4,14 @@
 
 use actix::Addr;
 use bytes::Bytes;
-use damaskhatch_exchange::{self as exchange, Framing, Head, Response};
+use damaskhatch_exchange::pool::Pool;
+use damaskhatch_exchange::{self as exchange, Connection, Framing, Head, HeaderName, Response};
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
+use damaskhatch_policy::routing::Repeat;
 
 use crate::control::limits::Limits;
 use crate::entry::Entry;
@@ -50,9 +52,13 @@
     pub fn from_exchange(error: &exchange::Error) -> Self {
         let outcome = match error {
             exchange::Error::Refused | exchange::Error::Unsent(_) => Outcome::NotRun,
-            exchange::Error::Broken(_) | exchange::Error::TooLong(_) => Outcome::Unknown,
+            exchange::Error::Broken(_)
+            | exchange::Error::Stale(_)
+            | exchange::Error::TooLong(_) => Outcome::Unknown,
         };
-        Self { outcome, reason: error.to_string(), is_upstream_at_fault: true }
+        // Upstreams close idle connections.
+        let is_upstream_at_fault = !matches!(error, exchange::Error::Stale(_));
+        Self { outcome, reason: error.to_string(), is_upstream_at_fault }
     }
 
     /// The failure of an attempt that did not finish before the request's time limit.
@@ -62,9 +68,18 @@
     }
 }
 
+/// The connection for a request to a plain upstream: only one that may run twice goes on a kept one.
+pub fn connection_for(routed: &Routed) -> Connection {
+    match routed.route.repeat {
+        Repeat::Idempotent => Connection::Kept,
+        Repeat::Once | Repeat::Stream | Repeat::ResumableStream => Connection::New,
+    }
+}
+
 /// Sends a request with additional headers to an upstream and waits for the response's head.
 ///
-/// Also returns what the upstream says of itself.
+/// Also returns what the upstream says of itself. With [`Connection::Kept`], a new connection is opened
+/// if none is kept.
 ///
 /// # Errors
 ///
@@ -75,6 +90,7 @@
     routed: &Routed,
     upstream: &registry::Entry,
     permit: Permit,
+    connection: Connection,
     extra: &[(&'static str, String)],
 ) -> Result<(Response, Statement), Failure> {
     let names = &entry.shared.deployment.dialect.headers;
@@ -95,9 +111,21 @@
     permit.spend();
     let sent_at = Instant::now();
     let mut pending = Pending::new(entry, routed, upstream);
-    let sent = exchange::send(upstream.address, CONNECT_TIMEOUT, request);
+    let sent = async {
+        match connection {
+            Connection::New => exchange::send(upstream.address, CONNECT_TIMEOUT, request).await,
+            Connection::Kept => {
+                let may_resend = || entry.spend_service_retry(routed.service);
+                let shared = &entry.shared;
+                send_kept(shared, &shared.pool, upstream.address, request, may_resend).await
+            }
+        }
+    };
     let sent = tokio::time::timeout_at(routed.limit, sent).await;
     pending.settle();
+    if sent.is_err() {
+        entry.shared.pool.forget(upstream.address);
+    }
     let response = match sent {
         Ok(sent) => sent.map_err(|error| Failure::from_exchange(&error))?,
         Err(_elapsed) => return Err(Failure::timed_out()),
@@ -114,6 +142,43 @@
     checked.map(|()| (response, statement))
 }
 
+/// Sends a request that may be repeated on a kept connection, if there is one.
+///
+/// Sends it again on a new connection if the kept one has ended meanwhile, and `may_resend` allows it.
+async fn send_kept(
+    shared: &Shared,
+    pool: &Pool,
+    address: SocketAddr,
+    request: exchange::Request<Bytes>,
+    may_resend: impl FnOnce() -> bool,
+) -> exchange::Result<Response> {
+    let id = HeaderName::from_bytes(shared.deployment.dialect.headers.request.as_bytes());
+    let id = id.map_err(|error| exchange::Error::Unsent(error.to_string()))?;
+    let again = request.clone();
+    let sent = pool.send(address, CONNECT_TIMEOUT, request, &id).await;
+    let count = |connection: &str| {
+        shared.metrics.upstream_exchanges.with_label_values(&[connection]).inc();
+    };
+    let sent = match sent {
+        Err(exchange::Error::Stale(reason)) if may_resend() => {
+            count("stale");
+            let sent = exchange::send(address, CONNECT_TIMEOUT, again).await;
+            sent.map_err(|error| match error {
+                // The first copy may have run, and may have crashed the upstream.
+                exchange::Error::Refused | exchange::Error::Unsent(_) => {
+                    exchange::Error::Broken(format!("{reason}; then {error}"))
+                }
+                other => other,
+            })
+        }
+        sent => sent,
+    };
+    if let Ok(response) = &sent {
+        count(&response.connection.to_string());
+    }
+    sent
+}
+
 /// A response whose body has been read to its end.
 #[derive(Debug)]
 pub struct Complete {
@@ -264,18 +329,20 @@
 
 /// Sends a control call to a registered upstream and returns the response's status and body.
 ///
-/// Also learns from the response what the upstream says of itself.
+/// Also learns from the response what the upstream says of itself. The call is sent on a connection of
+/// its own, or on one of `pool` if it may be repeated.
 pub async fn call(
     shared: &Shared,
     limits: &Addr<Limits>,
     upstream: &registry::Entry,
+    pool: Option<&Pool>,
     call: Call,
 ) -> Result<(u16, Bytes), exchange::Error> {
     let names = &shared.deployment.dialect.headers;
     // By which the receiver can check that the call is meant for it.
     let instance = (names.instance, upstream.instance.as_str());
     let sent_at = Instant::now();
-    let (head, body) = exchange_call(upstream.address, instance, call).await?;
+    let (head, body) = exchange_call(shared, upstream.address, instance, pool, call).await?;
     let status = head.status.as_u16();
     if status != MISDIRECTED_REQUEST {
         hear(shared, limits, upstream.into(), sent_at, (head.status, &head.headers));
@@ -284,8 +351,10 @@
 }
 
 async fn exchange_call(
+    shared: &Shared,
     address: SocketAddr,
     (name, value): (&str, &str),
+    pool: Option<&Pool>,
     call: Call,
 ) -> Result<(Head, Bytes), exchange::Error> {
     let mut request = exchange::Request::builder()
@@ -299,11 +368,15 @@
     let request =
         request.body(call.body).map_err(|error| exchange::Error::Unsent(error.to_string()))?;
     let called = tokio::time::timeout(CALL_TIMEOUT, async {
-        let mut response = exchange::send(address, CONNECT_TIMEOUT, request).await?;
+        let mut response = match pool {
+            None => exchange::send(address, CONNECT_TIMEOUT, request).await?,
+            Some(pool) => send_kept(shared, pool, address, request, || true).await?,
+        };
         let body = response.read_body(MAX_CALL_RESPONSE_BYTES).await?;
         Ok((response.head, body))
     });
     called.await.unwrap_or_else(|_elapsed| {
+        shared.pool.forget(address);
         Err(exchange::Error::Broken(format!("no response within {CALL_TIMEOUT:?}")))
     })
 }
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -12,7 +12,8 @@
 use damaskhatch_policy::registry;
 
 use super::attempt::{
-    Attempt, Complete, Failure, check_admission, may_retry, read_complete, record_failure, send,
+    Attempt, Complete, Failure, check_admission, connection_for, may_retry, read_complete,
+    record_failure, send,
 };
 use super::candidates;
 use super::permit::{self, Permit, Terms};
@@ -126,7 +127,8 @@
     attempt: Attempt<'_>,
     permit: Permit,
 ) -> Result<Complete, Failure> {
-    let (response, statement) = send(entry, routed, attempt.upstream, permit, &[]).await?;
+    let (response, statement) =
+        send(entry, routed, attempt.upstream, permit, connection_for(routed), &[]).await?;
     if response.head.status.is_success() {
         observe_load(entry, routed, &statement, attempt.sent_at);
     }
--- a/crates/damaskhatch/src/relay/held.rs
+++ b/crates/damaskhatch/src/relay/held.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use damaskhatch_exchange as exchange;
+use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::admission::Need;
 use damaskhatch_policy::placement::Load;
 use damaskhatch_policy::prelude::*;
@@ -28,7 +29,7 @@
     ///
     /// First reserves the memory together with the headroom, releases that at once and
     /// then reserves the memory alone. So the engine itself, which knows the reservations
-    /// of all hosts, confirms that the headroom is free.
+    /// of all hosts, confirms that the headroom is free. All three calls use one connection.
     pub async fn acquire(
         entry: &Entry,
         engine: &registry::Entry,
@@ -40,12 +41,14 @@
         let load = Load { requests: 1, memory_tokens: memory, prefill_tokens: 0 };
         // Counted before the calls, so that other requests of this host take it into account.
         let guard = entry.shared.loads.track(engine.tag, load);
+        let pool = Pool::private();
+        let acquire = |memory| Hold::acquire(entry, engine, &pool, terms, memory);
         let grant = async {
             if headroom > 0 {
-                let trial = Hold::acquire(entry, engine, terms, memory + headroom).await?;
-                trial.release().await?;
+                let trial = acquire(memory + headroom).await?;
+                trial.release(&pool).await?;
             }
-            Hold::acquire(entry, engine, terms, memory).await
+            acquire(memory).await
         };
         match grant.await {
             Ok(hold) => Some(Self { upstream: engine.clone(), hold, _guard: guard }),
@@ -86,13 +89,14 @@
     async fn acquire(
         entry: &Entry,
         engine: &registry::Entry,
+        pool: &Pool,
         terms: EngineTerms,
         memory: u32,
     ) -> Result<Self, String> {
         let dialect = entry.shared.deployment.dialect;
         let ttl = Duration::from_millis(u64::from(terms.reservation_ms));
-        let (status, body) = match call_engine(entry, engine, (dialect.reserve)(memory, ttl)).await
-        {
+        let reserve = (dialect.reserve)(memory, ttl);
+        let (status, body) = match call_engine(entry, engine, Some(pool), reserve).await {
             Ok(response) => response,
             Err(error) => {
                 entry.outliers().record_failure(engine.tag, Instant::now());
@@ -105,11 +109,16 @@
     }
 
     /// Releases the reservation and waits for the engine's response.
-    async fn release(mut self) -> Result<(), String> {
-        let release = (self.entry.shared.deployment.dialect.release)(&self.name);
-        let called = call_engine(&self.entry, &self.engine, release).await;
-        self.is_settled = called.is_ok();
-        called.map(|_response| ()).map_err(|error| error.to_string())
+    async fn release(mut self, pool: &Pool) -> Result<(), String> {
+        let dialect = self.entry.shared.deployment.dialect;
+        let release = (dialect.release)(&self.name);
+        let called = call_engine(&self.entry, &self.engine, Some(pool), release).await;
+        let (_status, body) = called.map_err(|error| error.to_string())?;
+        if (dialect.decode_reservation)(&body).is_some() {
+            return Err("the response is a copy of that to the reservation".to_owned());
+        }
+        self.is_settled = true;
+        Ok(())
     }
 }
 
@@ -163,7 +172,7 @@
 ) {
     let (entry, engine) = (entry.clone(), engine.clone());
     actix_rt::spawn(async move {
-        if let Err(error) = call_engine(&entry, &engine, release).await {
+        if let Err(error) = call_engine(&entry, &engine, None, release).await {
             let upstream = &engine.instance;
             log::info!("event=not_given_back what={what} upstream={upstream} error={error}");
         }
@@ -173,7 +182,9 @@
 async fn call_engine(
     entry: &Entry,
     engine: &registry::Entry,
+    pool: Option<&Pool>,
     call: Call,
 ) -> Result<(u16, Bytes), exchange::Error> {
-    attempt::call(&entry.shared, &entry.control.limits, engine, call).await
+    // A reservation that is made twice ends by itself, and a second release has no effect.
+    attempt::call(&entry.shared, &entry.control.limits, engine, pool, call).await
 }
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashSet;
 
-use damaskhatch_exchange::Response;
+use damaskhatch_exchange::{Connection, Response};
 use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::availability::Standing;
@@ -134,7 +134,9 @@
         reservation.mark_used();
         routed.keep_charge();
         let sent_at = Instant::now();
-        let sent = send(entry, routed, &reservation.upstream, permit, &extra).await;
+        // A stream may run once only.
+        let new = Connection::New;
+        let sent = send(entry, routed, &reservation.upstream, permit, new, &extra).await;
         let sent = sent.and_then(|(response, _statement)| {
             check_version(entry, routed, &reservation.upstream, response)
         });
@@ -388,7 +390,8 @@
     phase: &str,
 ) -> Result<Export, Failure> {
     let extra = [(entry.header_names().phase, phase.to_owned())];
-    let (mut response, _statement) = send(entry, routed, engine, permit, &extra).await?;
+    let sent = send(entry, routed, engine, permit, Connection::Kept, &extra).await;
+    let (mut response, _statement) = sent?;
     let read = response.read_body(MAX_PREFILL_RESPONSE_BYTES);
     let body = tokio::time::timeout_at(routed.limit, read)
         .await
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::limit;
@@ -60,6 +61,8 @@
     pub limits: watch::Receiver<Arc<limit::Table>>,
     /// What upstreams have said of themselves about new requests.
     pub availability: Availability,
+    /// Connections to upstreams that are kept for requests which may be repeated.
+    pub pool: Pool,
     /// Requests and tokens that this host has in flight at each upstream.
     pub loads: Loads,
     /// Streams of this host that wait to go on, by the tag of their software version.
@@ -75,7 +78,7 @@
 }
 
 /// The time after a start in which a host hears from most of the hosts of its domain.
-const SETTLING_TIME: Duration = Duration::from_millis(1_200);
+pub const SETTLING_TIME: Duration = Duration::from_millis(1_200);
 
 impl Shared {
     /// The configuration in force now.
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -87,7 +87,7 @@
         match error {
             exchange::Error::Refused => Self::Refused,
             exchange::Error::Unsent(_) => Self::Connect,
-            exchange::Error::Broken(_) => Self::Broken,
+            exchange::Error::Broken(_) | exchange::Error::Stale(_) => Self::Broken,
             exchange::Error::TooLong(_) => Self::Malformed,
         }
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,7 +1,8 @@
-//! An HTTP/1.1 client that opens a new connection for each request.
+//! An HTTP/1.1 client that opens a new connection for each request, or keeps connections where that
+//! is safe.
 //!
-//! Connections are never reused, so that neither unread bytes of an earlier
-//! response nor a stalled connection can affect another request. A truncated
+//! On a connection of its own, neither unread bytes of an earlier response nor a
+//! stalled connection can affect a request; [`pool`] has the rules for kept ones. A truncated
 //! body is reported as [`Error::Broken`]; where only the end of the connection
 //! delimits the body ([`Framing::Close`]), truncation can be detected here only by a
 //! reset, and the reader must judge by the content. See
@@ -14,11 +15,14 @@
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+pub mod pool;
+
 pub use http::response::Parts as Head;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 
@@ -37,6 +41,8 @@
     Unsent(String),
     /// connection failed after the request may have been sent: {0}
     Broken(String),
+    /// kept connection ended before a response, the request may have been sent: {0}
+    Stale(String),
     /// response body exceeds {0} bytes
     TooLong(usize),
 }
@@ -86,24 +92,60 @@
     }
 }
 
+/// The connection that a request was sent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Connection {
+    /// One of its own.
+    #[displaydoc("new")]
+    New,
+    /// One that earlier requests were sent on.
+    #[displaydoc("kept")]
+    Kept,
+}
+
 /// A response whose head has been received, and whose body is read on demand.
 ///
-/// Dropping it closes the connection.
+/// Dropping it closes the connection, unless the body has been read to its end and the connection
+/// belongs to a [`pool`].
 #[derive(Debug)]
 pub struct Response {
     /// The status and headers.
     pub head: Head,
     /// How the end of the body is marked.
     pub framing: Framing,
+    /// The connection that it came on.
+    pub connection: Connection,
     body: Incoming,
-    _driver: Driver,
+    /// `None` once the connection is kept for another request.
+    driver: Option<Driver>,
+    /// Set if the connection is kept after this response.
+    return_to: Option<pool::Return>,
 }
 
 impl Response {
+    /// Splits a response whose connection `driver` drives.
+    fn new(response: http::Response<Incoming>, driver: Driver) -> Self {
+        let (head, body) = response.into_parts();
+        let framing = Framing::new(&head, body.size_hint().exact());
+        let connection = Connection::New;
+        Self { head, framing, connection, body, driver: Some(driver), return_to: None }
+    }
+
+    /// Keeps the connection of a complete response, if it may be kept.
+    fn end(&mut self) {
+        if let (Some(return_to), Some(driver)) = (self.return_to.take(), self.driver.take()) {
+            return_to.keep(driver);
+        }
+    }
+
     /// Reads the next bytes of the body; returns `None` once it is complete.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes>> {
         loop {
-            return match self.body.frame().await? {
+            let Some(frame) = self.body.frame().await else {
+                self.end();
+                return None;
+            };
+            return match frame {
                 Ok(frame) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => Some(Ok(data)),
                     // Trailers and empty frames carry no body bytes.
@@ -169,6 +211,17 @@
     connect_timeout: Duration,
     request: Request<Bytes>,
 ) -> Result<Response> {
+    let (mut sender, driver) = connect(address, connect_timeout).await?;
+    let response = sender.send_request(request.map(Full::new)).await;
+    let response = response.map_err(|error| Error::Broken(error.to_string()))?;
+    Ok(Response::new(response, driver))
+}
+
+/// Opens a connection; drives it until the driver is dropped.
+async fn connect(
+    address: SocketAddr,
+    connect_timeout: Duration,
+) -> Result<(SendRequest<Full<Bytes>>, Driver)> {
     let unsent = |error: std::io::Error| Error::Unsent(error.to_string());
     let stream = timeout(connect_timeout, TcpStream::connect(address))
         .await
@@ -181,7 +234,7 @@
     socket2::SockRef::from(&stream)
         .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
         .map_err(unsent)?;
-    let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
+    let (sender, connection) = hyper::client::conn::http1::Builder::new()
         .title_case_headers(true)
         .handshake(TokioIo::new(stream))
         .await
@@ -190,10 +243,5 @@
         // The reader of the response receives the same error and reports it.
         let _reported = connection.await;
     }));
-    let request = request.map(Full::new);
-    let response = sender.send_request(request).await;
-    let response = response.map_err(|error| Error::Broken(error.to_string()))?;
-    let (head, body) = response.into_parts();
-    let framing = Framing::new(&head, body.size_hint().exact());
-    Ok(Response { head, framing, body, _driver: driver })
+    Ok((sender, driver))
 }
