Call the store less often when many hosts start

Change: a host that finds no configuration waits until it knows the readers; an empty list counts as read; a write at an unknown version is tried first and repeated with the version that the store answers; the first roster may be some seconds old; no role order is issued while a host settles in.

--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -14,6 +14,7 @@
 use crate::control::dependency;
 use crate::control::follow::DIRECT_READ_AFTER;
 use crate::prelude::*;
+use crate::shared::SETTLING_TIME;
 
 impl Configuration {
     /// Watches the store with one call at a time.
@@ -85,11 +86,20 @@
                 Err(error) => {
                     actor.store.record_result(Some(&error));
                     log_failure("platform", revision, started, &error);
-                    if error == config_pull::Error::Store(Error::Missing) {
-                        // The store has dropped the history after the watched version.
+                    let is_missing = error == config_pull::Error::Store(Error::Missing);
+                    if is_missing {
+                        // The store has dropped the history after the watched version, or there is
+                        // no configuration yet.
                         actor.version = 0;
                     }
-                    dependency::retry_delay(actor.shared.is_reader(), failed_pause)
+                    match (is_missing && after == 0, actor.shared.is_settling()) {
+                        // Most of the hosts that start together will learn of it from readers.
+                        (true, true) => SETTLING_TIME.mul_f64(1.0 + rand::random::<f64>()),
+                        (true, false) => {
+                            dependency::retry_delay(actor.shared.is_reader(), WATCH_PAUSE)
+                        }
+                        _ => dependency::retry_delay(actor.shared.is_reader(), failed_pause),
+                    }
                 }
             };
             ctx.run_later(pause, Self::watch_store);
--- a/crates/damaskhatch/src/control/listing.rs
+++ b/crates/damaskhatch/src/control/listing.rs
@@ -85,7 +85,8 @@
             ctx.run_later(IDLE_PAUSE, Self::read_store);
             return;
         }
-        let reads_directly = self.registry.is_empty()
+        // A list that was read may be empty, which hosts that follow another one learn from it.
+        let reads_directly = self.registry.version() == 0
             || self.shared.config_age().is_none_or(|a| a > DIRECT_READ_AFTER);
         if !self.shared.is_reader() && !reads_directly {
             self.version = None;
--- a/crates/damaskhatch/src/control/roster/mod.rs
+++ b/crates/damaskhatch/src/control/roster/mod.rs
@@ -52,6 +52,8 @@
     /// The lease in the store; `None` before it is granted and on a host without slots.
     lease: Option<Grant>,
     confirmed: Option<Confirmed>,
+    /// The version of the key of what this host confirmed; 0 before it has written the key.
+    confirmed_version: u64,
     /// The timer of the next step; `None` while a step runs.
     next_step: Option<SpawnHandle>,
     /// Whether the roster has an earlier incarnation of this host as a member.
@@ -76,6 +78,7 @@
             keys,
             lease: None,
             confirmed: None,
+            confirmed_version: 0,
             next_step: None,
             is_returning: false,
             has_news: false,
@@ -95,10 +98,11 @@
     /// Runs the first step at once if the roster lists an earlier incarnation of this host: no host
     /// may spend the full rate of its slots until this incarnation has registered. Any other
     /// host charges at the holders that it finds, and first waits for heartbeats from other hosts.
+    /// A roster that is some seconds old delays the first step at most.
     fn read_initial_roster(&self, ctx: &mut Context<Self>) {
         let (client, key) = (self.client(), self.keys.roster());
         let read = async move {
-            let item = client.get(&key).await?;
+            let item = client.get_stale(&key).await?;
             Ok::<_, Error>((store::decode::<Roster>(&item.value)?, item.version))
         };
         ctx.spawn(read.into_actor(self).map(|read, actor, ctx| match read {
@@ -234,18 +238,22 @@
         let confirmed = Confirmed { seat: self.seat(), epoch: self.tenure.epoch() };
         let is_due = self.tenure.is_member() && self.confirmed != Some(confirmed);
         let (client, key) = (self.client(), self.keys.confirmed(self.shared.host));
+        let version = self.confirmed_version;
         let written = async move {
             let observed = observed?;
-            if is_due {
-                client.overwrite(&key, &encode(&confirmed), None).await?;
+            if !is_due {
+                return Ok((observed, version));
             }
-            Ok(observed)
+            let written = client.overwrite(&key, &encode(&confirmed), None, version).await?;
+            Ok((observed, written))
         };
-        Box::pin(written.into_actor(self).map(move |written, actor, _ctx| {
-            if written.is_ok() && is_due {
+        Box::pin(written.into_actor(self).map(move |written: Result<_>, actor, _ctx| {
+            let (observed, version) = written?;
+            if is_due {
                 actor.confirmed = Some(confirmed);
             }
-            written
+            actor.confirmed_version = version;
+            Ok(observed)
         }))
     }
 
--- a/crates/damaskhatch/src/control/roster/store.rs
+++ b/crates/damaskhatch/src/control/roster/store.rs
@@ -102,7 +102,7 @@
 /// Requests a lease and binds this incarnation's lease record to it.
 pub async fn acquire_lease(client: &Client, keys: &Keys, seat: Seat) -> Result<Grant> {
     let lease = client.grant_lease(LEASE_TTL).await?;
-    client.overwrite(&keys.lease(seat.host), &encode(&seat), Some(lease)).await?;
+    client.overwrite(&keys.lease(seat.host), &encode(&seat), Some(lease), 0).await?;
     Ok(lease)
 }
 
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -80,7 +80,8 @@
     /// Issues an order if a service's engines have been out of proportion for long enough.
     fn check_proportions(&mut self, ctx: &mut Context<Self>) {
         let now = Instant::now();
-        if self.is_order_pending || !self.should_issue_orders(now) {
+        // Of the hosts that start together, each would take itself for the first.
+        if self.is_order_pending || self.shared.is_settling() || !self.should_issue_orders(now) {
             return;
         }
         let prefill_share = self.shared.settings.schedule.prefill_percent as f64 / 100.0;
@@ -179,7 +180,7 @@
     }
     let order = Order { role: change.role, holder, fence: claim.version };
     let order = (shared.deployment.dialect.order)(&order);
-    let response = call(shared, limits, &change.engine, order).await;
+    let response = call(shared, limits, &change.engine, None, order).await;
     Ok(Outcome::Sent(response.map(|(status, _body)| status).map_err(|error| error.to_string())))
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -25,6 +25,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time limit for connecting, within that of the request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// The most calls for one overwrite: with the expected version, as for no key if that is of an earlier
+/// era, and with the version that the store says.
+const MAX_OVERWRITES: usize = 3;
 /// The largest response body, in bytes; a value has up to a megabyte, and base64 adds a third.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -59,20 +62,29 @@
             return Ok(());
         };
         let value = String::from_utf8_lossy(&to_json(host)).into_owned();
-        self.overwrite(&format!("{prefix}{}", host.name), &value, None).await.map(drop)
+        self.overwrite(&format!("{prefix}{}", host.name), &value, None, 0).await.map(drop)
     }
 
     /// Writes a key at whatever version it has, and returns the new version.
     ///
-    /// Only for keys with a single writer: it fails with [`Error::Conflict`] if another write
-    /// comes between its read and its write.
-    pub async fn overwrite(&self, key: &str, value: &str, lease: Option<Grant>) -> Result<u64> {
-        let expect = match self.get(key).await {
-            Ok(item) => item.version,
-            Err(Error::Missing) => 0,
-            Err(error) => return Err(error),
-        };
-        self.compare_and_swap(key, &Swap { value: value.to_owned(), expect, lease }).await
+    /// It takes one call if the key has the version `expect`, 0 for none, and otherwise one more, since
+    /// the store says which version it has. Only for keys with a single writer: it fails with
+    /// [`Error::Conflict`] if another write comes between the two.
+    pub async fn overwrite(
+        &self,
+        key: &str,
+        value: &str,
+        lease: Option<Grant>,
+        expect: u64,
+    ) -> Result<u64> {
+        let mut swap = Swap { value: value.to_owned(), expect, lease };
+        for _ in 0..MAX_OVERWRITES {
+            match self.compare_and_swap(key, &swap).await {
+                Err(Error::Conflict(found)) if found != swap.expect => swap.expect = found,
+                written => return written,
+            }
+        }
+        Err(Error::Conflict(swap.expect))
     }
 
     /// Reads a key; fails with [`Error::Missing`] if it does not exist.
