Leave out single leases that cannot be decoded

Cause: one lease or confirmation of a silent host that another writer had spoilt failed the whole step of every host of the domain, with a debug line only, so that no slot of any host was taken over any more.

Change: such a record is logged with its key and left out. Its host counts as holding its lease, since it may still renew it: the key's content has no part in that. What it confirmed counts as not known.

--- a/crates/damaskhatch/src/control/roster/store.rs
+++ b/crates/damaskhatch/src/control/roster/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use damaskhatch_policy::tenure::{LEASE_TTL, Observed, Roster, Seat};
+use damaskhatch_policy::tenure::{Confirmed, LEASE_TTL, Observed, Roster, Seat};
 use damaskhatch_store::error::{Error, Result};
 use damaskhatch_store::message::Grant;
 use damaskhatch_store::prelude::Client;
@@ -111,12 +111,40 @@
 /// The lease of a later incarnation of a host is not that of an earlier one.
 async fn observe_silent(client: &Client, keys: &Keys, silent: Vec<Seat>) -> Result<Observed> {
     let hosts: HashSet<Tag> = silent.iter().map(|seat| seat.host).collect();
-    let leases: HashMap<Tag, Seat> = read_records(client, &keys.leases(), hosts).await?;
-    let lapsed: HashSet<Seat> =
-        silent.into_iter().filter(|seat| leases.get(&seat.host) != Some(seat)).collect();
+    let leases: Records<Seat> = read_records(client, &keys.leases(), hosts).await?;
+    // A record that another writer has spoilt does not say whether its host still renews the lease.
+    let has_lapsed = |seat: &Seat| {
+        !leases.malformed.contains(&seat.host) && leases.sound.get(&seat.host) != Some(seat)
+    };
+    let lapsed: HashSet<Seat> = silent.into_iter().filter(has_lapsed).collect();
     let hosts = lapsed.iter().map(|seat| seat.host).collect();
-    let confirmed = read_records(client, &keys.confirmations(), hosts).await?;
-    Ok(Observed { lapsed, confirmed, ..Observed::default() })
+    let confirmed: Records<Confirmed> = read_records(client, &keys.confirmations(), hosts).await?;
+    Ok(Observed { lapsed, confirmed: confirmed.sound, ..Observed::default() })
+}
+
+/// The records of some hosts under one prefix.
+#[derive(Debug)]
+struct Records<T> {
+    sound: HashMap<Tag, T>,
+    /// The hosts whose records cannot be decoded.
+    malformed: HashSet<Tag>,
+}
+
+impl<T: DeserializeOwned> Records<T> {
+    fn new() -> Self {
+        Self { sound: HashMap::new(), malformed: HashSet::new() }
+    }
+
+    /// Decodes the record of a host, and logs one that is malformed.
+    fn add(&mut self, host: Tag, key: &str, value: &str) {
+        match decode(value) {
+            Ok(record) => drop(self.sound.insert(host, record)),
+            Err(error) => {
+                log::warn!("event=record_left_out key={key:?} error={error}");
+                self.malformed.insert(host);
+            }
+        }
+    }
 }
 
 /// Reads the records of some hosts under a prefix, all in one call where the store can list keys.
@@ -126,8 +154,8 @@
     client: &Client,
     prefix: &str,
     hosts: HashSet<Tag>,
-) -> Result<HashMap<Tag, T>> {
-    let mut records = HashMap::new();
+) -> Result<Records<T>> {
+    let mut records = Records::new();
     if hosts.len() > 1 {
         match client.list(prefix, false).await {
             Ok(listing) => {
@@ -135,7 +163,7 @@
                     hosts.iter().map(|host| (format!("{prefix}{host}"), *host)).collect();
                 for (key, item) in listing.items {
                     if let (Some(host), Some(item)) = (keys.get(&key), item) {
-                        records.insert(*host, decode(&item.value)?);
+                        records.add(*host, &key, &item.value);
                     }
                 }
                 return Ok(records);
@@ -146,8 +174,9 @@
         }
     }
     for host in hosts {
-        match client.get(&format!("{prefix}{host}")).await {
-            Ok(item) => drop(records.insert(host, decode(&item.value)?)),
+        let key = format!("{prefix}{host}");
+        match client.get(&key).await {
+            Ok(item) => records.add(host, &key, &item.value),
             Err(Error::Missing) => {}
             Err(error) => return Err(error),
         }
