Take a kept connection that ends for a failed attempt

Cause, by reading: a request on a kept connection that ended was sent again at once. Neither a permit of a limited upstream nor the quarantine stood before that second send, as they do before every other attempt.

Change: it is a failed attempt like any other (examined for a crash, then a retry, a permit, the quarantine), but the upstream is not ejected and may get the request again. Only routes with a second attempt use kept connections. Calls of a reservation, which run nothing, are sent again as before.

--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -65,7 +65,7 @@
     /// Calls to the platform's store, by purpose, call and result.
     pub platform_calls: IntCounterVec,
     /// Requests that may be repeated, by the connection that they were sent on: `new`, `kept`, or
-    /// `stale` where a kept one ended under them and they were sent again.
+    /// `stale` where a kept one ended under them.
     pub upstream_exchanges: IntCounterVec,
     /// The configuration revision in force.
     pub revision: IntGauge,
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -61,6 +61,12 @@
         Self { outcome, reason: error.to_string(), is_upstream_at_fault }
     }
 
+    /// Whether the upstream may get the request again, because the failure says nothing about it: a kept
+    /// connection has ended.
+    pub fn allows_same_upstream(&self) -> bool {
+        self.outcome == Outcome::Unknown && !self.is_upstream_at_fault
+    }
+
     /// The failure of an attempt that did not finish before the request's time limit.
     pub fn timed_out() -> Self {
         let reason = "no response within the request's time limit".to_owned();
@@ -68,11 +74,11 @@
     }
 }
 
-/// The connection for a request to a plain upstream: only one that may run twice goes on a kept one.
+/// The connection for a request to a plain upstream: only one that may be sent again goes on a kept one.
 pub fn connection_for(routed: &Routed) -> Connection {
     match routed.route.repeat {
-        Repeat::Idempotent => Connection::Kept,
-        Repeat::Once | Repeat::Stream | Repeat::ResumableStream => Connection::New,
+        Repeat::Idempotent if routed.route.max_attempts > 1 => Connection::Kept,
+        _ => Connection::New,
     }
 }
 
@@ -115,9 +121,7 @@
         match connection {
             Connection::New => exchange::send(upstream.address, CONNECT_TIMEOUT, request).await,
             Connection::Kept => {
-                let may_resend = || entry.spend_service_retry(routed.service);
-                let shared = &entry.shared;
-                send_kept(shared, &shared.pool, upstream.address, request, may_resend).await
+                send_kept(&entry.shared, &entry.shared.pool, upstream.address, request).await
             }
         }
     };
@@ -143,39 +147,21 @@
 }
 
 /// Sends a request that may be repeated on a kept connection, if there is one.
-///
-/// Sends it again on a new connection if the kept one has ended meanwhile, and `may_resend` allows it.
 async fn send_kept(
     shared: &Shared,
     pool: &Pool,
     address: SocketAddr,
     request: exchange::Request<Bytes>,
-    may_resend: impl FnOnce() -> bool,
 ) -> exchange::Result<Response> {
     let id = HeaderName::from_bytes(shared.deployment.dialect.headers.request.as_bytes());
     let id = id.map_err(|error| exchange::Error::Unsent(error.to_string()))?;
-    let again = request.clone();
     let sent = pool.send(address, CONNECT_TIMEOUT, request, &id).await;
-    let count = |connection: &str| {
-        shared.metrics.upstream_exchanges.with_label_values(&[connection]).inc();
-    };
-    let sent = match sent {
-        Err(exchange::Error::Stale(reason)) if may_resend() => {
-            count("stale");
-            let sent = exchange::send(address, CONNECT_TIMEOUT, again).await;
-            sent.map_err(|error| match error {
-                // The first copy may have run, and may have crashed the upstream.
-                exchange::Error::Refused | exchange::Error::Unsent(_) => {
-                    exchange::Error::Broken(format!("{reason}; then {error}"))
-                }
-                other => other,
-            })
-        }
-        sent => sent,
+    let connection = match &sent {
+        Ok(response) => response.connection.to_string(),
+        Err(exchange::Error::Stale(_)) => "stale".to_owned(),
+        Err(_) => return sent,
     };
-    if let Ok(response) = &sent {
-        count(&response.connection.to_string());
-    }
+    shared.metrics.upstream_exchanges.with_label_values(&[&connection]).inc();
     sent
 }
 
@@ -370,7 +356,13 @@
     let called = tokio::time::timeout(CALL_TIMEOUT, async {
         let mut response = match pool {
             None => exchange::send(address, CONNECT_TIMEOUT, request).await?,
-            Some(pool) => send_kept(shared, pool, address, request, || true).await?,
+            Some(pool) => match send_kept(shared, pool, address, request.clone()).await {
+                // It runs nothing, so it cannot have ended the upstream.
+                Err(exchange::Error::Stale(_)) => {
+                    exchange::send(address, CONNECT_TIMEOUT, request).await?
+                }
+                sent => sent?,
+            },
         };
         let body = response.read_body(MAX_CALL_RESPONSE_BYTES).await?;
         Ok((response.head, body))
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -81,6 +81,9 @@
             }
             Ok(response) => failed = Some(response),
             Err(failure) => {
+                if failure.allows_same_upstream() {
+                    tried.remove(&upstream.tag);
+                }
                 let attempt = Attempt { history, ..attempt };
                 record_failure(entry, &routed, attempt, &failure).await;
             }
