--- a/crates/exchange/src/pool.rs
+++ b/crates/exchange/src/pool.rs
@@ -125,8 +125,8 @@
     /// waits for the head of the response.
     ///
     /// The header `id` identifies the request, and the response must repeat it for the connection to
-    /// be kept, unless the pool is private. Fails with [`Error::Stale`] if a kept connection ends without a response. A new
-    /// connection is subject to `connect_timeout`, as with [`send`](crate::send).
+    /// be kept, unless the pool is private. Fails with [`Error::Stale`] if a kept connection ends without
+    /// a response. A new connection is subject to `connect_timeout`, as with [`send`](crate::send).
     pub async fn send(
         &self,
         address: SocketAddr,
