Review case 2: no stream goes on while a killed recorder counts as alive

Shows, with a script, that after the kill of one machine of six none of the streams that its clients take up at the others goes on, although all engines are of one software version. A killed recorder counts as alive for 2 s; the search for the stream's version waits for its reply, gives up after 0.5 s and refuses, without the rule for a single version (LOST).

How: review/2/run.sh, six hosts from the deploy file, stand-ins of the store, eight engines and 24 clients.

--- a/review/standins/takeup.rs
+++ b/review/standins/takeup.rs
@@ -28,7 +28,9 @@
 }
 
 /// Sends one attempt and reads its events; `first` is set once one has arrived.
-fn attempt(front: SocketAddr, id: &str, extra: &str, first: &AtomicBool) -> End {
+///
+/// The client closes its connection itself after the event at which `quits` is set.
+fn attempt(front: SocketAddr, id: &str, extra: &str, first: &AtomicBool, quits: &AtomicBool) -> End {
     let Ok(mut connection) = connect(front, Duration::from_secs(14)) else { return End::Broken(0) };
     let sent = connection.write(request("/summary/1", id, 14_000, extra, "prompt").as_bytes());
     match sent.and_then(|()| connection.read_response_head()) {
@@ -47,6 +49,9 @@
                         first.store(true, Ordering::SeqCst);
                     }
                 }
+                if quits.load(Ordering::SeqCst) {
+                    return End::Broken(last);
+                }
             }
             Err(_) => return End::Broken(last),
         }
@@ -102,17 +107,19 @@
         fronts.iter().copied().filter(|front| *front != fronts[victim]).collect();
     let results: Arc<Mutex<Vec<(bool, bool)>>> = Arc::default();
     let begun = Arc::new(AtomicUsize::new(0));
+    // Without the disruption, the clients break their connections themselves.
+    let quits = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
     for client in 0..CLIENTS {
         let (record, results) = (record.clone(), Arc::clone(&results));
         let (victim, other) = (fronts[victim], others[client % others.len()]);
-        let begun = Arc::clone(&begun);
+        let (begun, quits) = (Arc::clone(&begun), Arc::clone(&quits));
         clients.push(std::thread::spawn(move || {
             std::thread::sleep(Duration::from_millis(20 * client as u64));
             let first = format!("summary-{client}-1");
             record.note(&format!("client {client} sends {first}"));
             let has_begun = AtomicBool::new(false);
-            let end = attempt(victim, &first, EXTRA, &has_begun);
+            let end = attempt(victim, &first, EXTRA, &has_begun, &quits);
             begun.fetch_add(usize::from(has_begun.load(Ordering::SeqCst)), Ordering::SeqCst);
             let last = match end {
                 End::Complete => {
@@ -136,7 +143,7 @@
             ));
             let extra = format!("{EXTRA}Last-Event-Id: {last}\r\nResumes: {first}\r\n");
             let (sent_at, goes_on) = (Instant::now(), AtomicBool::new(false));
-            let end = attempt(other, &second, &extra, &goes_on);
+            let end = attempt(other, &second, &extra, &goes_on, &AtomicBool::new(false));
             let goes_on = goes_on.load(Ordering::SeqCst);
             let how = match end {
                 End::Complete => "complete".to_owned(),
@@ -162,7 +169,7 @@
                 number += 1;
                 let id = format!("new-{client}-{number}");
                 let has_begun = AtomicBool::new(false);
-                let end = attempt(front, &id, EXTRA, &has_begun);
+                let end = attempt(front, &id, EXTRA, &has_begun, &AtomicBool::new(false));
                 new.fetch_add(1, Ordering::SeqCst);
                 new_begun.fetch_add(usize::from(has_begun.load(Ordering::SeqCst)), Ordering::SeqCst);
                 let status = if let End::Status(status) = end { status } else { 200 };
@@ -174,6 +181,9 @@
     if case.has_trouble {
         record.note(&format!("{} is killed", hosts[victim].name));
         hosts[victim].kill();
+    } else {
+        record.note("the clients close their connections");
+        quits.store(true, Ordering::SeqCst);
     }
     std::thread::sleep(AWAY);
     if case.has_trouble {
