Review case 3: two engines work on a stream whose first engine was slow

Shows, with a script, that a resumable stream which pauses for longer than 1.8 s is sent to a second engine while the first is still connected and at work. If the second one's answer is lost, both work on the request until the first goes on (TWICE: 400 ms are allowed, 1.5 s were seen).

How: review/3/run.sh, two hosts from the deploy file, four decode engines of which three lose the answers to what goes on there, 16 streams that are each preempted for 3.3 s.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod host;
 mod http;
 mod json;
+mod overlap;
 mod record;
 mod store;
 mod takeup;
@@ -36,6 +37,7 @@
     let found = match name.as_str() {
         "endless" => endless::run(&case, &scratch_text),
         "takeup" => takeup::run(&case, &scratch_text),
+        "overlap" => overlap::run(&case, &scratch_text),
         other => Found::CouldNotRun(format!("there is no case {other:?}")),
     };
     let keep = std::env::var_os("KEEP_LOGS").is_some();
