Review case 5: streams of an engine that leaves end as complete too early

Shows, with a script, that the streams of an engine which has said that it leaves and is gone in the middle of them are ended like complete ones if they have neither a length nor chunks (ORDER). The host sees no evidence of a crash in the end of an engine that was to leave, and takes an end without evidence for a sound one.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod host;
 mod http;
 mod json;
+mod leaving;
 mod overlap;
 mod record;
 mod store;
@@ -27,7 +28,11 @@
 }
 
 fn main() -> ExitCode {
-    let mut words = std::env::args().skip(1);
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    if words.first().is_some_and(|word| word == "engine-of-leaving") {
+        leaving::engine_process(&words[1..]);
+    }
+    let mut words = words.into_iter();
     let (name, folder) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let scratch = std::env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -37,6 +42,7 @@
     let found = match name.as_str() {
         "endless" => endless::run(&case, &scratch_text),
         "takeup" => takeup::run(&case, &scratch_text),
+        "leaving" => leaving::run(&case, &scratch_text),
         "overlap" => overlap::run(&case, &scratch_text),
         other => Found::CouldNotRun(format!("there is no case {other:?}")),
     };
