Review case: engines work on for callers that have left a stream

Shows, with a script, that the host does not see the close of a caller while the engine of its stream has nothing to send: engines are at work for up to 2.8 s more, and a stream that counts as stalled is even sent to another engine (GONE). It is the cause of the KNOWN-RED entry a_stream_is_refused_once_its_version_has_left: the decodes too many are resumptions for the callers that left at the beginning of the test.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod endless;
 mod engine;
+mod gone;
 mod host;
 mod http;
 mod json;
@@ -42,6 +43,7 @@
     let found = match name.as_str() {
         "endless" => endless::run(&case, &scratch_text),
         "takeup" => takeup::run(&case, &scratch_text),
+        "gone" => gone::run(&case, &scratch_text),
         "leaving" => leaving::run(&case, &scratch_text),
         "overlap" => overlap::run(&case, &scratch_text),
         other => Found::CouldNotRun(format!("there is no case {other:?}")),
