--- a/review/standins/endless.rs
+++ b/review/standins/endless.rs
@@ -24,13 +24,19 @@
     let store = Store::start(&format!("{net}7:8361"));
     let has_trouble = case.has_trouble;
     let app = |n: u16| {
-        let mut engine = Engine::new(&format!("{net}{}", 20 + n), 8_668, &format!("i-app{n}"), "app", &record);
+        let mut engine =
+            Engine::new(&format!("{net}{}", 20 + n), 8_668, &format!("i-app{n}"), "app", &record);
         engine.pace = Duration::from_millis(150);
         engine
     };
     let model = |n: u16, stage| {
-        let mut engine =
-            Engine::new(&format!("{net}{}", 40 + n), 8_080, &format!("i-model{n}"), "model", &record);
+        let mut engine = Engine::new(
+            &format!("{net}{}", 40 + n),
+            8_080,
+            &format!("i-model{n}"),
+            "model",
+            &record,
+        );
         (engine.stage, engine.events, engine.pace) = (Some(stage), 10, Duration::from_millis(100));
         engine
     };
@@ -148,7 +154,8 @@
                     continue;
                 };
                 record.note(&format!("summary client sends {id}"));
-                let sent = connection.write(request("/check/1", &id, 14_000, extra, "prompt").as_bytes());
+                let sent =
+                    connection.write(request("/check/1", &id, 14_000, extra, "prompt").as_bytes());
                 let head = sent.and_then(|()| connection.read_response_head());
                 let mut events = 0;
                 let end = match head {
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -130,13 +130,15 @@
             }
             Some("prefill") if is_prefill => {
                 std::thread::sleep(Duration::from_millis(20));
-                let body = format!("{{\"kv_handle\":\"kv-{serial}\",\"tokens\":100,\"version\":1}}");
+                let body =
+                    format!("{{\"kv_handle\":\"kv-{serial}\",\"tokens\":100,\"version\":1}}");
                 let extra = [("Request-Id", id.as_str()), ("Content-Type", "application/json")];
                 send(respond(200, &extra, body.as_bytes()))
             }
             Some("decode") if !is_prefill => {
                 self.note_run(&id);
-                let last = request.header("Last-Event-Id").and_then(|v| v.parse().ok()).unwrap_or(0);
+                let last =
+                    request.header("Last-Event-Id").and_then(|v| v.parse().ok()).unwrap_or(0);
                 self.stream(&id, &stamp, last, connection)
             }
             _ => send(respond(421, &[("Request-Id", &id)], b"")),
--- a/review/standins/gone.rs
+++ b/review/standins/gone.rs
@@ -51,7 +51,9 @@
             break;
         }
     }
-    engine.record.note(&format!("engine {} ends {id}; its caller has closed: {}", engine.id, !is_open));
+    engine
+        .record
+        .note(&format!("engine {} ends {id}; its caller has closed: {}", engine.id, !is_open));
     works.lock().unwrap().entry(id).or_default().push((began, Instant::now()));
     if is_open {
         let _ = connection.write(b"0\r\n\r\n");
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -64,7 +64,13 @@
 
 /// A configuration with a plain and a model service and one tenant, in the figures of the site file.
 pub fn config(version: u64) -> String {
-    let route = |name: &str, kind: &str, service: &str, timeout: u64, slo: u64, attempts: u32, resumable: bool| {
+    let route = |name: &str,
+                 kind: &str,
+                 service: &str,
+                 timeout: u64,
+                 slo: u64,
+                 attempts: u32,
+                 resumable: bool| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"app.example\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
              \"timeout_ms\":{timeout},\"slo_ms\":{slo},\"priority\":1,\"service\":\"{service}\",\
--- a/review/standins/overlap.rs
+++ b/review/standins/overlap.rs
@@ -46,7 +46,13 @@
     true
 }
 
-fn decode(engine: &Engine, request: &crate::http::Request, connection: &mut crate::http::Connection, loses: bool, works: &Works) {
+fn decode(
+    engine: &Engine,
+    request: &crate::http::Request,
+    connection: &mut crate::http::Connection,
+    loses: bool,
+    works: &Works,
+) {
     let id = request.header("Request-Id").unwrap_or("").to_owned();
     let last: u64 = request.header("Last-Event-Id").and_then(|v| v.parse().ok()).unwrap_or(0);
     engine.note_run(&id);
@@ -70,7 +76,10 @@
         }
     }
     let ended = Instant::now();
-    engine.record.note(&format!("engine {} ends its work on {id}; its caller has closed: {}", engine.id, !is_open));
+    engine.record.note(&format!(
+        "engine {} ends its work on {id}; its caller has closed: {}",
+        engine.id, !is_open
+    ));
     let work = Work { engine: engine.id.clone(), began, ended };
     works.lock().unwrap().entry(id).or_default().push(work);
     if !is_open {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -197,7 +197,8 @@
             }
             "/api/kv-watch" => {
                 let prefix = request.query("prefix").unwrap_or_default();
-                let number = |name| request.query(name).and_then(|v| v.parse().ok()).unwrap_or(0_u64);
+                let number =
+                    |name| request.query(name).and_then(|v| v.parse().ok()).unwrap_or(0_u64);
                 let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
                 let until = Instant::now() + wait;
                 loop {
--- a/review/standins/takeup.rs
+++ b/review/standins/takeup.rs
@@ -30,7 +30,13 @@
 /// Sends one attempt and reads its events; `first` is set once one has arrived.
 ///
 /// The client closes its connection itself after the event at which `quits` is set.
-fn attempt(front: SocketAddr, id: &str, extra: &str, first: &AtomicBool, quits: &AtomicBool) -> End {
+fn attempt(
+    front: SocketAddr,
+    id: &str,
+    extra: &str,
+    first: &AtomicBool,
+    quits: &AtomicBool,
+) -> End {
     let Ok(mut connection) = connect(front, Duration::from_secs(14)) else { return End::Broken(0) };
     let sent = connection.write(request("/summary/1", id, 14_000, extra, "prompt").as_bytes());
     match sent.and_then(|()| connection.read_response_head()) {
@@ -171,7 +177,8 @@
                 let has_begun = AtomicBool::new(false);
                 let end = attempt(front, &id, EXTRA, &has_begun, &AtomicBool::new(false));
                 new.fetch_add(1, Ordering::SeqCst);
-                new_begun.fetch_add(usize::from(has_begun.load(Ordering::SeqCst)), Ordering::SeqCst);
+                new_begun
+                    .fetch_add(usize::from(has_begun.load(Ordering::SeqCst)), Ordering::SeqCst);
                 let status = if let End::Status(status) = end { status } else { 200 };
                 record.note(&format!("new client {client}: {id} ends with {status}"));
             }
