--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -40,14 +40,16 @@
     std::fs::create_dir_all(&scratch).expect("a temporary folder");
     let case = Case { folder, has_trouble };
     let scratch_text = scratch.to_string_lossy().into_owned();
-    let found = match name.as_str() {
+    // A case that ends in a panic has shown nothing.
+    let played = std::panic::catch_unwind(|| match name.as_str() {
         "endless" => endless::run(&case, &scratch_text),
         "takeup" => takeup::run(&case, &scratch_text),
         "gone" => gone::run(&case, &scratch_text),
         "leaving" => leaving::run(&case, &scratch_text),
         "overlap" => overlap::run(&case, &scratch_text),
         other => Found::CouldNotRun(format!("there is no case {other:?}")),
-    };
+    });
+    let found = played.unwrap_or_else(|_panic| Found::CouldNotRun("a panic".to_owned()));
     let keep = std::env::var_os("KEEP_LOGS").is_some();
     if !keep {
         let _ = std::fs::remove_dir_all(&scratch);
