End a stream whose event does not end

Cause: the splitter of events kept all bytes after the last complete event, without a limit; so did the search for another engine beside a stalled stream, which also examined all of them again at each chunk.

Change: an event or comment of more than 256 KiB ends the response as one that broke off. The connection is closed before another engine is sought.

--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -8,7 +8,7 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
-use damaskhatch_exchange::{Framing, Result};
+use damaskhatch_exchange::{self as exchange, Framing, Result};
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::ending::{Content, Verdict};
 use damaskhatch_policy::prelude::Instant;
@@ -23,7 +23,7 @@
 use super::request::Routed;
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
-use crate::upstream::events::{Splitter, is_event_stream};
+use crate::upstream::events::{self, Splitter, is_event_stream};
 
 /// What is needed to forward a stream and to resume it at another engine.
 #[derive(Debug)]
@@ -67,6 +67,39 @@
     Other(Box<std::result::Result<Running, Refusal>>),
 }
 
+/// What a stalled engine has sent while another one is sought.
+struct Stalled {
+    /// The splitter as it would be with these bytes.
+    ahead: Splitter,
+    received: BytesMut,
+    /// Set once the bytes are no events, so that nothing more is read.
+    failure: Option<events::Error>,
+}
+
+impl Stalled {
+    /// Adds bytes; returns whether they complete an event or show that the stream is out of order.
+    ///
+    /// Bytes that complete no event must not end the search for another engine: more may follow.
+    fn push(&mut self, bytes: &[u8]) -> bool {
+        let before = self.ahead.progress();
+        match self.ahead.push(bytes) {
+            Ok(_complete) => {
+                self.received.extend_from_slice(bytes);
+                self.ahead.progress() != before
+            }
+            Err(events::Error::Gap { .. }) => {
+                self.received.extend_from_slice(bytes);
+                true
+            }
+            Err(too_long) => {
+                self.received = BytesMut::new();
+                self.failure = Some(too_long);
+                false
+            }
+        }
+    }
+}
+
 /// Returns the body of the caller's response, made of complete events only.
 ///
 /// An error item ends it as one that broke off.
@@ -110,9 +143,14 @@
             match read {
                 Some(Ok(bytes)) => {
                     self.last_byte_at = Instant::now();
-                    let complete = self.split_events(bytes)?;
-                    if !complete.is_empty() {
-                        return Ok(Some(complete));
+                    match self.split_events(bytes) {
+                        Ok(complete) if complete.is_empty() => {}
+                        Ok(complete) => return Ok(Some(complete)),
+                        Err(gap @ events::Error::Gap { .. }) => {
+                            self.end("event_out_of_order");
+                            return Err(io::Error::other(gap));
+                        }
+                        Err(too_long) => self.resume(too_long.to_string()).await?,
                     }
                 }
                 Some(Err(error)) => self.resume(error.to_string()).await?,
@@ -160,16 +198,13 @@
     }
 
     /// Returns the events that `bytes` completes, and records the time to the first of them.
-    fn split_events(&mut self, bytes: Bytes) -> io::Result<Bytes> {
+    fn split_events(&mut self, bytes: Bytes) -> std::result::Result<Bytes, events::Error> {
         if !self.has_events {
             self.has_opaque_bytes = true;
             return Ok(bytes);
         }
         let (had_event, before) = (self.splitter.has_event(), self.splitter.progress());
-        let complete = self.splitter.push(&bytes).map_err(|gap| {
-            self.end("event_out_of_order");
-            io::Error::other(gap)
-        })?;
+        let complete = self.splitter.push(&bytes)?;
         if self.splitter.progress() != before {
             self.silence.record_event(Instant::now());
         }
@@ -184,6 +219,8 @@
     async fn resume(&mut self, reason: String) -> io::Result<()> {
         self.rest_bytes = self.splitter.rest_bytes();
         self.splitter.resume();
+        // An engine that sends bytes which are no events would go on with it meanwhile.
+        self.parts.running.response.close();
         let Parts { entry, routed, progress, running } = &self.parts;
         let error = io::Error::other(reason.clone());
         let failure = Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true };
@@ -227,23 +264,23 @@
         }
         self.exclude_current();
         let Parts { entry, routed, progress, running } = &mut self.parts;
-        let mut received = BytesMut::new();
+        let mut stalled =
+            Stalled { ahead: self.splitter.clone(), received: BytesMut::new(), failure: None };
         let found = {
             let mut started = std::pin::pin!(start(entry, routed, progress));
             loop {
                 let read = tokio::select! {
                     biased;
-                    read = running.response.next_chunk() => read,
+                    read = running.response.next_chunk(), if stalled.failure.is_none() => read,
                     started = &mut started => break Found::Other(Box::new(started)),
                 };
-                // Bytes that complete no event must not end the search: more of them may follow.
                 let Some(Ok(bytes)) = read else { break Found::End(read) };
-                received.extend_from_slice(&bytes);
-                if self.splitter.would_progress(&received) {
+                if stalled.push(&bytes) {
                     break Found::Event;
                 }
             }
         };
+        let Stalled { received, failure, .. } = stalled;
         match found {
             Found::Event => return Some(Some(Ok(received.freeze()))),
             Found::End(read) => {
@@ -256,6 +293,9 @@
                     self.splitter.resume();
                     return None;
                 }
+                if let Some(too_long) = failure {
+                    return Some(Some(Err(exchange::Error::Broken(too_long.to_string()))));
+                }
                 self.silence.waive();
             }
         }
--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -13,19 +13,32 @@
 use damaskhatch_policy::ending::Content;
 use displaydoc::Display;
 
+/// How much of a whole body is examined at a time, in bytes, so that it is not copied as a whole.
+const PIECE_BYTES: usize = 64 << 10;
 /// The encoding of U+FEFF, which a stream may begin with.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
-/// resumed stream is out of order: got event {found} after event {last}
+/// The longest event of a stream, in bytes; also the longest comment.
+///
+/// An event is kept until it is complete, so without a bound an engine that never ends one takes up
+/// all memory. See [docs/DESIGN.md](../../../../docs/DESIGN.md#memory).
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Why the bytes of a response are no part of the caller's stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub struct Gap {
-    /// Id of the last event before the stream was resumed.
-    pub last: u64,
-    /// Id of the first event afterwards.
-    pub found: u64,
+pub enum Error {
+    /// resumed stream is out of order: got event {found} after event {last}
+    Gap {
+        /// Id of the last event before the stream was resumed.
+        last: u64,
+        /// Id of the first event afterwards.
+        found: u64,
+    },
+    /// event exceeds {0} bytes
+    TooLong(usize),
 }
 
-impl std::error::Error for Gap {}
+impl std::error::Error for Error {}
 
 /// What follows in the bytes received.
 enum Step {
@@ -88,9 +101,11 @@
 ///
 /// Comments between two events are passed on at once, because engines send them to keep a
 /// connection alive.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Splitter {
     lines: Lines,
+    /// The longest event, in bytes.
+    max_bytes: usize,
     /// Whether a field of an event has been received, but not the blank line that ends it.
     is_inside: bool,
     /// The id of the event that has not ended.
@@ -101,13 +116,33 @@
     is_resumed: bool,
 }
 
+impl Default for Splitter {
+    fn default() -> Self {
+        Self::new(MAX_EVENT_BYTES)
+    }
+}
+
 impl Splitter {
+    /// Creates a splitter of events of at most `max_bytes`.
+    fn new(max_bytes: usize) -> Self {
+        Self {
+            lines: Lines::default(),
+            max_bytes,
+            is_inside: false,
+            open_id: None,
+            has_event: false,
+            last_id: None,
+            is_resumed: false,
+        }
+    }
+
     /// Adds bytes and returns the events that are complete with them, possibly none.
     ///
     /// # Errors
     ///
-    /// Fails if the first event after [`Self::resume`] has an id that is not the next.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Gap> {
+    /// Fails if the first event after [`Self::resume`] has an id that is not the next, or if more bytes
+    /// than an event may have do not complete one.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
         self.lines.pending.extend_from_slice(bytes);
         // The length of the prefix that does not end inside an event.
         let mut complete = 0;
@@ -124,7 +159,11 @@
                 Step::LineFeed => {}
             }
         }
-        Ok(self.lines.split_to(complete))
+        let complete = self.lines.split_to(complete);
+        if self.rest_bytes() > self.max_bytes {
+            return Err(Error::TooLong(self.max_bytes));
+        }
+        Ok(complete)
     }
 
     /// Leaves a byte-order mark out of the first line of a response.
@@ -143,7 +182,7 @@
     }
 
     /// Interprets a line: a field, a comment, or the blank line that ends an event.
-    fn end_line(&mut self, line: Range<usize>) -> Result<(), Gap> {
+    fn end_line(&mut self, line: Range<usize>) -> Result<(), Error> {
         match &self.lines.pending[line] {
             [] => self.end_event()?,
             [b':', ..] => {}
@@ -156,7 +195,7 @@
     }
 
     /// Ends the event that a blank line completes, if there is one.
-    fn end_event(&mut self) -> Result<(), Gap> {
+    fn end_event(&mut self) -> Result<(), Error> {
         if !std::mem::take(&mut self.is_inside) {
             return Ok(());
         }
@@ -165,7 +204,7 @@
             && let (Some(last), Some(found)) = (self.last_id, id)
             && found != last + 1
         {
-            return Err(Gap { last, found });
+            return Err(Error::Gap { last, found });
         }
         self.has_event = true;
         self.last_id = id.or(self.last_id);
@@ -175,8 +214,8 @@
     /// Discards an incomplete event before another engine's bytes are added, and returns the id
     /// of the last complete event.
     pub fn resume(&mut self) -> Option<u64> {
-        let Self { has_event, last_id, .. } = *self;
-        *self = Self { has_event, last_id, is_resumed: true, ..Self::default() };
+        let Self { has_event, last_id, max_bytes, .. } = *self;
+        *self = Self { has_event, last_id, is_resumed: true, ..Self::new(max_bytes) };
         last_id
     }
 
@@ -195,12 +234,6 @@
         (self.has_event, self.last_id)
     }
 
-    /// Whether `bytes` would complete an event, or show a gap, rather than a comment or nothing.
-    pub fn would_progress(&self, bytes: &[u8]) -> bool {
-        let mut ahead = self.clone();
-        ahead.push(bytes).is_err() || ahead.progress() != self.progress()
-    }
-
     /// The number of bytes received after the last complete event or comment.
     pub fn rest_bytes(&self) -> usize {
         self.lines.pending.len()
@@ -233,9 +266,14 @@
     if !is_event_stream(headers, is_implied) {
         return Content::Opaque;
     }
-    let mut splitter = Splitter::default();
-    // Without a resumption in its middle, a body has no gap.
-    splitter.push(body).map_or(Content::Opaque, |_events| splitter.content(is_resumed))
+    let mut splitter = Splitter::new(usize::MAX);
+    for piece in body.chunks(PIECE_BYTES) {
+        if splitter.push(piece).is_err() {
+            // Without a resumption in its middle, a body has no gap.
+            return Content::Opaque;
+        }
+    }
+    splitter.content(is_resumed)
 }
 
 /// Whether the body of a response is a stream of events, by its headers.
--- a/crates/damaskhatch/tests/events.rs
+++ b/crates/damaskhatch/tests/events.rs
@@ -1,6 +1,6 @@
 //! Guards against events that are held back, torn or miscounted because of how their lines end.
 
-use damaskhatch::upstream::events::{Gap, Splitter};
+use damaskhatch::upstream::events::{Error, MAX_EVENT_BYTES, Splitter};
 use proptest::prelude::*;
 
 /// The bytes that the splitter returns for `chunks`, one entry a chunk.
@@ -69,7 +69,34 @@
     assert_eq!(resumed, "id: 8\r\n\r\n", "a byte-order mark in the middle of a stream");
     assert!(!splitter.is_cut());
     splitter.resume();
-    assert_eq!(splitter.push(b"id: 8\n\n"), Err(Gap { last: 8, found: 8 }));
+    assert_eq!(splitter.push(b"id: 8\n\n"), Err(Error::Gap { last: 8, found: 8 }));
+}
+
+/// Guards against an event without end that takes up all memory (review case 2).
+#[test]
+fn bytes_that_complete_no_event_are_kept_up_to_a_limit() {
+    for piece in ["x", "data: x\n", ": x"] {
+        let mut splitter = Splitter::default();
+        let piece = piece.repeat(1_000);
+        let failed = (0..).find_map(|_| splitter.push(piece.as_bytes()).err());
+        assert_eq!(failed, Some(Error::TooLong(MAX_EVENT_BYTES)));
+        assert!(splitter.rest_bytes() <= MAX_EVENT_BYTES + piece.len());
+    }
+}
+
+/// Guards against a sound long event that is taken for one without end.
+#[test]
+fn events_up_to_the_limit_pass_and_do_not_add_up() {
+    let mut splitter = Splitter::default();
+    for id in 1..=8 {
+        let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(MAX_EVENT_BYTES - 64));
+        let passed: usize = event
+            .as_bytes()
+            .chunks(50_000)
+            .map(|chunk| splitter.push(chunk).expect("a sound event").len())
+            .sum();
+        assert_eq!((passed, splitter.last_id()), (event.len(), Some(id)));
+    }
 }
 
 proptest! {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Closes the connection, on which the rest of the body may still be arriving.
+    pub fn close(&mut self) {
+        self.driver = None;
+        self.return_to = None;
+    }
+
     /// Reads the next bytes of the body; returns `None` once it is complete.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes>> {
         loop {
