Read the store in place of recorders that do not reply

Cause: the search for the version of a stream waited for all recorders. One that has just ended counts as alive for 2 s; at 0.5 s the search ended as unknown, whatever the others had replied.

Change: a recorder that has not replied within 120 ms no longer decides. The list of engines and, with several versions, the saved streams are read in its place. Where the store does not reply either, the stream is refused as before.

--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -22,7 +22,7 @@
 use crate::prelude::*;
 use crate::shared::Shared;
 use crate::supervise::guard;
-use search::{Asker, Search};
+use search::{Asker, Recorders, Search};
 
 /// The role by which rendezvous hashing selects the recorders of a domain.
 const RECORDER_ROLE: &str = "lineage-recorder";
@@ -179,6 +179,7 @@
                     open: Vec::new(),
                     awaits_load: self.is_recording(),
                     awaits_list: false,
+                    recorders: Recorders::Awaited,
                     asked_at: Instant::now(),
                     sent_at: Instant::now(),
                 };
--- a/crates/damaskhatch/src/control/lineage/search.rs
+++ b/crates/damaskhatch/src/control/lineage/search.rs
@@ -13,6 +13,11 @@
 
 /// The time after which a query without a reply is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(40);
+/// The time without a reply after which a recorder no longer decides when a search ends.
+///
+/// A host that has just ended counts as alive for longer than callers wait. A host that is only slow,
+/// or whose replies are lost twice, replies within this time.
+const SILENT_AFTER: Duration = Duration::from_millis(120);
 /// How long a query may take, a read of the store included.
 const FIND_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -25,6 +30,17 @@
     Host(SocketAddr, u64),
 }
 
+/// Whether a search waits for the recorders that have not replied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Recorders {
+    /// It does.
+    Awaited,
+    /// They are silent, and the store is being read in their place.
+    Silent,
+    /// The store has been read in their place.
+    Replaced,
+}
+
 /// A query for a stream that this host does not know yet.
 #[derive(Debug)]
 pub(super) struct Search {
@@ -37,10 +53,19 @@
     pub(super) awaits_load: bool,
     /// Whether this host still has to read which engines are registered.
     pub(super) awaits_list: bool,
+    /// Whether the store has been read in place of the recorders that have not replied.
+    pub(super) recorders: Recorders,
     pub(super) asked_at: Instant,
     pub(super) sent_at: Instant,
 }
 
+impl Search {
+    /// Whether it waits for a read of the registered engines.
+    fn needs_list(&self) -> bool {
+        self.awaits_list || self.recorders == Recorders::Silent
+    }
+}
+
 /// The queries in progress.
 #[derive(Debug, Default)]
 pub struct State {
@@ -76,6 +101,7 @@
             open,
             awaits_load,
             awaits_list,
+            recorders: Recorders::Awaited,
             asked_at: Instant::now(),
             sent_at: Instant::now(),
         };
@@ -141,9 +167,15 @@
     /// Goes on with the searches that began before the list was read.
     fn end_list(&mut self, began: Instant, ctx: &mut Context<Self>) {
         let (is_mixed, mut reads_again, mut loads) = (self.served.is_mixed(), false, false);
-        for search in self.searches.open.values_mut().filter(|search| search.awaits_list) {
-            search.awaits_list = search.asked_at > began;
-            reads_again |= search.awaits_list;
+        for search in self.searches.open.values_mut().filter(|search| search.needs_list()) {
+            if search.asked_at > began {
+                reads_again = true;
+                continue;
+            }
+            search.awaits_list = false;
+            if search.recorders == Recorders::Silent {
+                search.recorders = Recorders::Replaced;
+            }
             // Another version has joined, so that streams are being saved.
             if is_mixed && search.stream.is_some() {
                 (search.awaits_load, loads) = (true, true);
@@ -158,14 +190,24 @@
         self.settle();
     }
 
-    /// Sends a query again to the recorders that have not replied, or gives it up.
+    /// Sends a query again to the recorders that have not replied, reads the store in their place, or
+    /// gives the search up.
     fn look_after(&mut self, serial: u64, ctx: &mut Context<Self>) {
         let now = Instant::now();
         let Some(search) = self.searches.open.get_mut(&serial) else { return };
-        if now.saturating_duration_since(search.asked_at) >= FIND_TIMEOUT {
+        let waited = now.saturating_duration_since(search.asked_at);
+        if waited >= FIND_TIMEOUT {
             self.answer(serial, None);
             return;
         }
+        if waited >= SILENT_AFTER
+            && search.recorders == Recorders::Awaited
+            && !search.open.is_empty()
+        {
+            search.recorders = Recorders::Silent;
+            self.read_list(ctx);
+        }
+        let Some(search) = self.searches.open.get_mut(&serial) else { return };
         if now.saturating_duration_since(search.sent_at) >= RESEND_INTERVAL {
             search.sent_at = now;
             send_queries(&self.shared, serial, search);
@@ -180,7 +222,8 @@
         let now = Instant::now();
         let known = self.searches.open.iter().filter_map(|(serial, search)| {
             let version = search.stream.and_then(|stream| self.streams.version(stream));
-            let is_over = search.open.is_empty() && !search.awaits_load && !search.awaits_list;
+            let has_replies = search.open.is_empty() || search.recorders == Recorders::Replaced;
+            let is_over = has_replies && !search.awaits_load && !search.awaits_list;
             let sole = match search.asker {
                 Asker::Request(_, service) => self.served.sole(service, now),
                 Asker::Host(..) => None,
@@ -193,17 +236,17 @@
     }
 
     fn answer(&mut self, serial: u64, version: Option<Tag>) {
-        let Some(Search { asker, asked_at, stream, .. }) = self.searches.open.remove(&serial)
-        else {
-            return;
-        };
+        let Some(search) = self.searches.open.remove(&serial) else { return };
+        let Search { asker, asked_at, stream, open, .. } = search;
         match asker {
             Asker::Request(reply, _service) => {
                 let stream = stream.map_or_else(|| "unnamed".to_owned(), |s| s.to_string());
                 let waited_ms = asked_at.elapsed().as_millis();
                 let result = if version.is_some() { "known" } else { "unknown" };
+                let silent = open.len();
                 log::info!(
-                    "event=stream_searched stream={stream} result={result} waited_ms={waited_ms}"
+                    "event=stream_searched stream={stream} result={result} waited_ms={waited_ms} \
+                     without_reply={silent}"
                 );
                 let _caller_left = reply.send(version);
             }
