--- a/crates/damaskhatch/src/control/scheduling.rs
+++ b/crates/damaskhatch/src/control/scheduling.rs
@@ -261,7 +261,7 @@
                 let learn = |head: &Head| {
                     hear(&shared, &limits, run, sent_at, (head.status, &head.headers));
                 };
-                engine::fetch_load(&address, learn).await
+                engine::fetch_load(&address, &shared.memory.responses, learn).await
             };
             ctx.spawn(read.into_actor(self).map(move |load, actor, _ctx| {
                 let Some(mut load) = load else {
@@ -308,7 +308,8 @@
         let snapshot = self.shared.snapshot();
         let services: HashSet<Tag> = self.schedulers.keys().copied().collect();
         for (tag, address) in polled_upstreams(&snapshot, self.shared.domain, &services) {
-            let read = async move { engine::list_requests(&address).await };
+            let memory = self.shared.memory.responses.clone();
+            let read = async move { engine::list_requests(&address, &memory).await };
             ctx.spawn(read.into_actor(self).map(move |requests, actor, _ctx| {
                 let now = Instant::now();
                 let hosts = actor.shared.hosts();
--- a/crates/damaskhatch/src/decision.rs
+++ b/crates/damaskhatch/src/decision.rs
@@ -4,12 +4,14 @@
 
 use std::collections::VecDeque;
 use std::fmt;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::Serialize;
 
 /// The number of decisions kept; the oldest is dropped first.
 const CAPACITY: usize = 4_096;
+/// The most bytes of decisions kept, since callers and upstreams choose part of their text.
+const MAX_BYTES: usize = 2 << 20;
 
 /// A recorded decision.
 #[derive(Debug, Clone, Serialize)]
@@ -22,10 +24,35 @@
     pub text: String,
 }
 
+impl Line {
+    const fn bytes(&self) -> usize {
+        self.request.len() + self.text.len()
+    }
+}
+
 /// A bounded buffer of a host's most recent decisions; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Journal {
-    lines: Arc<Mutex<VecDeque<Line>>>,
+    kept: Arc<Mutex<Kept>>,
+}
+
+/// The decisions kept, oldest first.
+#[derive(Debug, Default)]
+struct Kept {
+    lines: VecDeque<Line>,
+    /// The sum of their lengths.
+    bytes: usize,
+}
+
+impl Kept {
+    fn push(&mut self, line: Line) {
+        self.bytes += line.bytes();
+        self.lines.push_back(line);
+        while self.lines.len() > CAPACITY || self.bytes > MAX_BYTES {
+            let Some(oldest) = self.lines.pop_front() else { return };
+            self.bytes -= oldest.bytes();
+        }
+    }
 }
 
 impl Journal {
@@ -35,16 +62,15 @@
         log::info!("{text}");
         let at_ms = damaskhatch_wire::frame::wall_ms();
         let line = Line { at_ms, request: request.to_string(), text };
-        let mut lines = self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        if lines.len() == CAPACITY {
-            lines.pop_front();
-        }
-        lines.push_back(line);
+        self.lock().push(line);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The decisions on a request that are still in the buffer, oldest first.
     pub fn explain(&self, request: &str) -> Vec<Line> {
-        let lines = self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        lines.iter().filter(|line| line.request == request).cloned().collect()
+        self.lock().lines.iter().filter(|line| line.request == request).cloned().collect()
     }
 }
--- a/crates/damaskhatch/src/deployment.rs
+++ b/crates/damaskhatch/src/deployment.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_policy::registry::Entry;
 use damaskhatch_policy::sheet::Row;
 use damaskhatch_store::calls::Calls;
@@ -52,7 +53,15 @@
     pub const OWN: Self = Self { protocol: Protocol::OWN, dialect: &Dialect::OWN, catalogue: None };
 
     /// Makes a client of the store at `address`, which shares `era` with the host's other clients.
-    pub const fn store(&self, address: SocketAddr, era: era::Tracker, calls: Calls) -> Client {
-        Client::new(address, self.protocol, era, calls)
+    ///
+    /// The bodies of its responses are taken from `memory`.
+    pub const fn store(
+        &self,
+        address: SocketAddr,
+        era: era::Tracker,
+        calls: Calls,
+        memory: Budget,
+    ) -> Client {
+        Client::new(address, self.protocol, era, calls, memory)
     }
 }
--- a/crates/damaskhatch/src/entry/body.rs
+++ b/crates/damaskhatch/src/entry/body.rs
@@ -4,8 +4,10 @@
 //! with its connection, so only a reset shows the failure. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#ends-of-responses).
 
+use std::convert::Infallible;
 use std::io;
 
+use actix_web::body::SizedStream;
 use actix_web::http::{ConnectionType, Version};
 use actix_web::web::Bytes;
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
@@ -14,6 +16,24 @@
 
 use super::closed::Connection;
 
+/// The most bytes of a complete body that the server copies at a time.
+const PIECE_BYTES: usize = 32 << 10;
+
+/// Builds a response with a complete body.
+///
+/// The server copies a body as a whole before the caller takes any of it, so a long one is handed over in
+/// pieces.
+pub fn complete(mut response: HttpResponseBuilder, body: Bytes) -> HttpResponse {
+    if body.len() <= PIECE_BYTES {
+        return response.body(body);
+    }
+    let length = body.len();
+    let pieces = (0..length)
+        .step_by(PIECE_BYTES)
+        .map(move |from| Ok::<_, Infallible>(body.slice(from..length.min(from + PIECE_BYTES))));
+    response.body(SizedStream::new(length as u64, futures_util::stream::iter(pieces)))
+}
+
 /// Builds a response with a streamed body; an error item closes the caller's connection without
 /// the end of the body.
 pub fn streaming(
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -187,7 +187,7 @@
     let mut charged = charge(entry, work.request, &work.caller, tokens).await?;
     entry.earn_retry();
     let metrics = &entry.shared.metrics;
-    let mut generated = generate::Progress::default();
+    let mut generated = generate::Progress::new(&entry.shared.memory.responses);
     let mut may_have_run = false;
     let mut avoid = Vec::new();
     // The refusal if no further attempt is made.
--- a/crates/damaskhatch/src/entry/generate.rs
+++ b/crates/damaskhatch/src/entry/generate.rs
@@ -4,6 +4,7 @@
 //! connection, so that no token is lost or duplicated.
 
 use damaskhatch_exchange::Head;
+use damaskhatch_exchange::memory::{Budget, Share};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::schedule::message::Phase;
 
@@ -36,15 +37,31 @@
 }
 
 /// How much of a response has been generated, over all attempts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Progress {
     /// The index of the next token to generate.
     pub next: u32,
     /// The software version of the engine that generated the first one, if it named any.
     version: Option<String>,
+    /// The length of the text so far, in bytes.
+    text_bytes: usize,
+    /// The memory of that text, which a slow caller has not received yet.
+    memory: Share,
 }
 
 impl Progress {
+    /// Before the first token of a response, whose text is taken from `memory`.
+    pub fn new(memory: &Budget) -> Self {
+        Self { next: 0, version: None, text_bytes: 0, memory: memory.share() }
+    }
+
+    /// Adds a token; returns false if the response may not become that long.
+    fn add(&mut self, text: &str, max_tokens: u32) -> bool {
+        self.text_bytes += text.len();
+        self.next += 1;
+        self.next <= max_tokens && self.memory.resize(self.text_bytes).is_ok()
+    }
+
     /// Whether an engine of this version may generate the next token.
     fn fits(&self, version: Option<&str>) -> bool {
         self.next == 0 || self.version.as_deref() == version
@@ -127,8 +144,10 @@
                     // freed the export on the prefill engine.
                     lease.needs_prefill_cancel = false;
                 }
+                if !progress.add(&text, job.max_tokens) {
+                    return Err(record_failure(lease, engine, Error::Malformed, false));
+                }
                 emit(&text);
-                progress.next += 1;
                 resumptions = 0;
                 if let Some(gap) = pace.record_token() {
                     lease.report_progress(Phase::Decode, gap);
@@ -168,7 +187,8 @@
     lease.needs_prefill_cancel = true;
     let (engine, sent_at) = (lease.pair.prefill, Instant::now());
     let learn = |head: &Head| hear(job.entry, engine, sent_at, head);
-    match engine::prefill(&lease.prefill_address, &call, learn).await {
+    let memory = &job.entry.shared.memory.responses;
+    match engine::prefill(&lease.prefill_address, &call, memory, learn).await {
         Ok(prefilled) => Ok(prefilled.kv),
         Err(error) => {
             let is_crash =
--- a/crates/damaskhatch/src/entry/idempotency.rs
+++ b/crates/damaskhatch/src/entry/idempotency.rs
@@ -15,6 +15,7 @@
 
 use super::Entry;
 use super::access::Caller;
+use super::body;
 use super::refusal::Refusal;
 
 /// The request header that carries the idempotency key.
@@ -23,6 +24,8 @@
 const RETENTION: Duration = Duration::from_mins(10);
 /// From this number of slots on, expired ones are evicted before another is added.
 const EVICTION_THRESHOLD: usize = 4_096;
+/// The most bytes of recorded bodies; the oldest are forgotten first.
+const MAX_RECORDED_BYTES: usize = 4 << 20;
 /// The longest accepted key, in bytes.
 const MAX_KEY_BYTES: usize = 200;
 
@@ -48,6 +51,13 @@
         Self::new(200, "text/event-stream", body, request)
     }
 
+    /// The response to a repeat whose original has been forgotten.
+    fn forgotten() -> Self {
+        let status = Kind::UpstreamFailed.answer().status;
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        Self { status, headers: HeaderMap::new(), body: Bytes::new() }
+    }
+
     fn new(status: u16, content_type: &'static str, body: String, request: Request) -> Self {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
@@ -64,7 +74,7 @@
         for (name, value) in &self.headers {
             response.append_header((name.clone(), value.clone()));
         }
-        response.body(self.body.clone())
+        body::complete(response, self.body.clone())
     }
 }
 
@@ -82,7 +92,50 @@
 /// The recorded and awaited responses of a host, by key.
 #[derive(Debug, Clone, Default)]
 pub struct Responses {
-    slots: Arc<Mutex<HashMap<Key, Slot>>>,
+    slots: Arc<Mutex<Slots>>,
+}
+
+/// The first requests by their keys.
+#[derive(Debug, Default)]
+struct Slots {
+    by_key: HashMap<Key, Slot>,
+    /// The sum of the lengths of the recorded bodies.
+    recorded_bytes: usize,
+}
+
+impl Slots {
+    /// Records a response, and forgets the oldest bodies if their sum is too long.
+    ///
+    /// What is forgotten may not run again: a repeat is told that its outcome is unknown.
+    fn record(&mut self, key: &Key, response: Response) {
+        let Some(slot) = self.by_key.get(key) else { return };
+        self.recorded_bytes += response.body.len();
+        slot.response.send_replace(Some(response));
+        while self.recorded_bytes > MAX_RECORDED_BYTES {
+            let recorded = self.by_key.values().filter(|slot| slot.recorded_bytes() > 0);
+            let Some(oldest) = recorded.min_by_key(|slot| slot.started_at) else { return };
+            self.recorded_bytes -= oldest.recorded_bytes();
+            oldest.response.send_replace(Some(Response::forgotten()));
+        }
+    }
+
+    /// Removes the slots that are older than [`RETENTION`].
+    fn evict(&mut self) {
+        self.by_key.retain(|_, slot| slot.started_at.elapsed() < RETENTION);
+        self.recorded_bytes = self.by_key.values().map(Slot::recorded_bytes).sum();
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let removed = self.by_key.remove(key);
+        self.recorded_bytes -= removed.map_or(0, |slot| slot.recorded_bytes());
+    }
+}
+
+impl Slot {
+    /// The length of the recorded body; 0 if there is none or it was forgotten.
+    fn recorded_bytes(&self) -> usize {
+        self.response.borrow().as_ref().map_or(0, |response| response.body.len())
+    }
 }
 
 /// How to proceed with a request that may be a repeat.
@@ -116,9 +169,7 @@
         let Some((responses, key)) = self.target.take() else {
             return;
         };
-        if let Some(slot) = responses.lock().get(&key) {
-            slot.response.send_replace(Some(response));
-        }
+        responses.lock().record(&key, response);
     }
 
     /// Whether a repeat may run after this refusal, because no attempt has run.
@@ -136,24 +187,28 @@
 }
 
 impl Responses {
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Key, Slot>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Slots> {
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Claims a key for its first request, or returns the response to wait for.
     fn claim(&self, key: &Key, fingerprint: Tag) -> Claim {
         let mut slots = self.lock();
-        if slots.len() >= EVICTION_THRESHOLD {
-            slots.retain(|_, slot| slot.started_at.elapsed() < RETENTION);
+        if slots.by_key.len() >= EVICTION_THRESHOLD {
+            slots.evict();
         }
-        if let Some(slot) = slots.get(key).filter(|slot| slot.started_at.elapsed() < RETENTION) {
+        if let Some(slot) =
+            slots.by_key.get(key).filter(|slot| slot.started_at.elapsed() < RETENTION)
+        {
             if slot.fingerprint != fingerprint {
                 return Claim::Mismatch;
             }
             return Claim::Repeat(slot.response.subscribe());
         }
         let (response, _receiver) = watch::channel(None);
-        slots.insert(key.clone(), Slot { fingerprint, started_at: Instant::now(), response });
+        slots.remove(key);
+        let slot = Slot { fingerprint, started_at: Instant::now(), response };
+        slots.by_key.insert(key.clone(), slot);
         Claim::First
     }
 }
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -19,7 +19,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use actix_web::{HttpRequest, HttpResponse, web};
-use damaskhatch_exchange::{Framing, HeaderMap, StatusCode};
+use damaskhatch_exchange::memory::Buffer;
+use damaskhatch_exchange::{self as exchange, Framing, HeaderMap, StatusCode};
 use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::backlog::Backlog;
 use damaskhatch_policy::ending::Verdict;
@@ -29,6 +30,7 @@
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, Budget};
 use damaskhatch_policy::strike::{Fingerprints, Quarantine, Strike};
+use futures_util::StreamExt as _;
 use serde_json::json;
 
 use crate::control::Control;
@@ -310,12 +312,19 @@
     HttpResponse::Ok().json(json!({ "object": "list", "data": data }))
 }
 
-/// Reads a request body of at most `max_body_bytes`.
-pub async fn read_body(entry: &Entry, body: web::Payload) -> Result<web::Bytes, Refusal> {
+/// Reads a request body of at most `max_body_bytes`, as far as the host's memory allows.
+pub async fn read_body(entry: &Entry, mut body: web::Payload) -> Result<web::Bytes, Refusal> {
     let limit = entry.shared.settings.limits.max_body_bytes as usize;
-    match body.to_bytes_limited(limit).await {
-        Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(_payload_error)) => Err(Kind::Malformed.into()),
-        Err(_too_long) => Err(Kind::TooLarge.into()),
+    let mut buffer = Buffer::new(&entry.shared.memory.requests, limit);
+    while let Some(chunk) = body.next().await {
+        let chunk = chunk.map_err(|_payload_error| Refusal::from(Kind::Malformed))?;
+        buffer.push(&chunk).map_err(|error| match error {
+            exchange::Error::TooLong(_) => Refusal::from(Kind::TooLarge),
+            _ => Refusal::after(Kind::Overloaded, MEMORY_RETRY_AFTER),
+        })?;
     }
+    Ok(buffer.freeze())
 }
+
+/// Retry delay for a caller whose body does not fit beside those of others.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/damaskhatch/src/entry/place.rs
+++ b/crates/damaskhatch/src/entry/place.rs
@@ -139,7 +139,7 @@
     let reads = engines.iter().map(async |engine| {
         let sent_at = Instant::now();
         let learn = |head: &Head| generate::hear(entry, engine.tag, sent_at, head);
-        let load = engine::fetch_load(&engine.address, learn).await;
+        let load = engine::fetch_load(&engine.address, &entry.shared.memory.responses, learn).await;
         let load = load.filter(|load| !load.leaving)?;
         Some(Candidate {
             upstream: engine.tag,
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -199,7 +199,9 @@
         let learn = |head: &Head| {
             entry.hear(run, sent_at, (head.status, &head.headers));
         };
-        let called = plain::call(&address, &work.call, work.request, is_leaving, learn).await;
+        let memory = &entry.shared.memory.responses;
+        let called =
+            plain::call(&address, &work.call, work.request, memory, is_leaving, learn).await;
         let error = match called {
             Ok((response, verdict)) => {
                 spend_all(&mut charged);
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -28,6 +28,7 @@
 use crate::deployment::Deployment;
 use crate::entry::{self, Entry, closed};
 use crate::listeners::Listeners;
+use crate::memory::Budgets;
 use crate::metrics::Metrics;
 use crate::operator::{self, Operator};
 use crate::peers::{Datagrams, Outbox, serve};
@@ -74,6 +75,7 @@
         strikes: strikes_seen,
         limits: limits_seen,
         availability: Availability::default(),
+        memory: Budgets::new(settings.limits.memory_mb),
         pool: Pool::default(),
         loads: Loads::default(),
         resuming: Loads::default(),
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod host;
 pub mod listeners;
 pub mod logging;
+pub mod memory;
 pub mod metrics;
 pub mod operator;
 pub mod peers;
--- /dev/null
+++ b/crates/damaskhatch/src/memory.rs
@@ -0,0 +1,26 @@
+//! The memory that a host spends on bodies. See [docs/DESIGN.md](../../../docs/DESIGN.md#memory).
+
+use damaskhatch_exchange::memory::Budget;
+
+/// Each budget is this part of the process's memory.
+const PART: usize = 5;
+
+/// The budgets of a host. They are apart, so that callers and upstreams cannot take each other's memory, nor
+/// that of the control thread.
+#[derive(Debug, Clone)]
+pub struct Budgets {
+    /// For the bodies of callers' requests.
+    pub requests: Budget,
+    /// For the bodies of upstreams' responses.
+    pub responses: Budget,
+    /// For the bodies of the store's responses.
+    pub store: Budget,
+}
+
+impl Budgets {
+    /// The budgets of a process that may use `memory_mb` MiB.
+    pub fn new(memory_mb: u64) -> Self {
+        let budget = || Budget::new(((memory_mb as usize) << 20) / PART);
+        Self { requests: budget(), responses: budget(), store: budget() }
+    }
+}
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -54,7 +54,8 @@
             exchange::Error::Refused | exchange::Error::Unsent(_) => Outcome::NotRun,
             exchange::Error::Broken(_)
             | exchange::Error::Stale(_)
-            | exchange::Error::TooLong(_) => Outcome::Unknown,
+            | exchange::Error::TooLong(_)
+            | exchange::Error::Exhausted { .. } => Outcome::Unknown,
         };
         // Upstreams close idle connections.
         let is_upstream_at_fault = !matches!(error, exchange::Error::Stale(_));
@@ -191,7 +192,8 @@
     mut response: Response,
     max_bytes: usize,
 ) -> Result<Complete, Failure> {
-    let read = tokio::time::timeout_at(routed.limit, response.read_body(max_bytes)).await;
+    let read = response.read_body(max_bytes, &entry.shared.memory.responses);
+    let read = tokio::time::timeout_at(routed.limit, read).await;
     let failed = |error: exchange::Error| Failure {
         outcome: Outcome::Unknown,
         ..Failure::from_exchange(&error)
@@ -364,7 +366,8 @@
                 sent => sent?,
             },
         };
-        let body = response.read_body(MAX_CALL_RESPONSE_BYTES).await?;
+        let memory = &shared.memory.responses;
+        let body = response.read_body(MAX_CALL_RESPONSE_BYTES, memory).await?;
         Ok((response.head, body))
     });
     called.await.unwrap_or_else(|_elapsed| {
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -19,8 +19,8 @@
 use super::permit::{self, Permit, Terms};
 use super::request::Routed;
 use super::response::build_response;
-use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
+use crate::entry::{Entry, body};
 
 /// The maximum length of a response that is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -90,7 +90,7 @@
         }
     }
     if let Some(Complete { head, body, .. }) = failed {
-        return Ok(build_response(&head).body(body));
+        return Ok(body::complete(build_response(&head), body));
     }
     let refusal = build_refusal(&routed, history);
     Err(Refusal { retry_after: refusal.retry_after.max(held_back), ..refusal })
@@ -223,5 +223,5 @@
         ),
     );
     entry.shared.metrics.requests.with_label_values(&["routed", "answered"]).inc();
-    build_response(&head).body(body)
+    body::complete(build_response(&head), body)
 }
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -77,7 +77,7 @@
                 &routed.label,
                 format_args!("event=answered status={status} framing={framing}"),
             );
-            Ok(build_response(&head).body(body))
+            Ok(body::complete(build_response(&head), body))
         }
         Err(failure) => {
             record_failure(entry, routed, attempt, &failure).await;
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -392,7 +392,7 @@
     let extra = [(entry.header_names().phase, phase.to_owned())];
     let sent = send(entry, routed, engine, permit, Connection::Kept, &extra).await;
     let (mut response, _statement) = sent?;
-    let read = response.read_body(MAX_PREFILL_RESPONSE_BYTES);
+    let read = response.read_body(MAX_PREFILL_RESPONSE_BYTES, &entry.shared.memory.responses);
     let body = tokio::time::timeout_at(routed.limit, read)
         .await
         .map_err(|_elapsed| Failure::timed_out())?
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use std::io;
 
 use bytes::{Bytes, BytesMut};
+use damaskhatch_exchange::memory::Share;
 use damaskhatch_exchange::{self as exchange, Framing, Result};
 use damaskhatch_policy::attempt::Outcome;
 use damaskhatch_policy::ending::{Content, Verdict};
@@ -43,6 +44,8 @@
 struct State {
     parts: Parts,
     splitter: Splitter,
+    /// The memory of the event that has not ended.
+    memory: Share,
     /// Whether the response consists of events; any other is forwarded as it arrives.
     has_events: bool,
     /// Whether bytes of a response without events have been forwarded.
@@ -108,6 +111,7 @@
     let state = State {
         has_events: is_event_stream(&parts.running.response.head.headers, true),
         has_opaque_bytes: false,
+        memory: parts.entry.shared.memory.responses.share(),
         parts,
         splitter: Splitter::default(),
         is_ended: false,
@@ -145,13 +149,20 @@
                     self.last_byte_at = Instant::now();
                     match self.split_events(bytes) {
                         Ok(complete) if complete.is_empty() => {}
-                        Ok(complete) => return Ok(Some(complete)),
+                        Ok(complete) => {
+                            // If it fails, it does so again at the next bytes.
+                            let _exhausted = self.memory.resize(self.splitter.rest_bytes());
+                            return Ok(Some(complete));
+                        }
                         Err(gap @ events::Error::Gap { .. }) => {
                             self.end("event_out_of_order");
                             return Err(io::Error::other(gap));
                         }
                         Err(too_long) => self.resume(too_long.to_string()).await?,
                     }
+                    if let Err(exhausted) = self.memory.resize(self.splitter.rest_bytes()) {
+                        self.resume(exhausted.to_string()).await?;
+                    }
                 }
                 Some(Err(error)) => self.resume(error.to_string()).await?,
                 None => match self.judge_end().await {
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::control::membership::{READER_ROLE, READERS_PER_DOMAIN};
 use crate::decision::Journal;
 use crate::deployment::Deployment;
+use crate::memory::Budgets;
 use crate::metrics::Metrics;
 use crate::peers::Outbox;
 use crate::relay::load::Loads;
@@ -61,6 +62,8 @@
     pub limits: watch::Receiver<Arc<limit::Table>>,
     /// What upstreams have said of themselves about new requests.
     pub availability: Availability,
+    /// The memory for bodies.
+    pub memory: Budgets,
     /// Connections to upstreams that are kept for requests which may be repeated.
     pub pool: Pool,
     /// Requests and tokens that this host has in flight at each upstream.
@@ -137,7 +140,8 @@
     /// Makes a client of the platform's store, whose calls are counted as for `purpose`.
     pub fn store(&self, purpose: &'static str) -> Client {
         let calls = Calls::new(self.metrics.platform_calls.clone(), purpose);
-        self.deployment.store(self.settings.platform.address, self.era.clone(), calls)
+        let (address, memory) = (self.settings.platform.address, self.memory.store.clone());
+        self.deployment.store(address, self.era.clone(), calls, memory)
     }
 
     /// Whether the configuration is fresh enough for callers' keys to be accepted.
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -1,12 +1,14 @@
 //! The client of the engines' HTTP interface.
 //!
 //! Every call opens a new connection: a reused one may be stalled without either end having
-//! noticed, and a call ends when it is dropped, because its connection closes with it.
+//! noticed, and a call ends when it is dropped, because its connection closes with it. The bodies of
+//! responses are taken from a [`Budget`].
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_exchange::{self as exchange, Head, HeaderMap, Response, StatusCode};
 use damaskhatch_policy::prelude::Request;
 use damaskhatch_policy::retry::Reach;
@@ -33,7 +35,7 @@
 const CANCEL_RETRY_PERIOD: Duration = Duration::from_mins(1);
 /// The header by which an engine names the version of its software.
 const VERSION: &str = "x-damaskhatch-version";
-/// The longest JSON response, in bytes.
+/// The longest JSON response, in bytes: a list of requests.
 const MAX_JSON_BYTES: usize = 4 << 20;
 /// The longest line of a token stream, in bytes.
 const MAX_LINE_BYTES: usize = 64 << 10;
@@ -88,7 +90,7 @@
             exchange::Error::Refused => Self::Refused,
             exchange::Error::Unsent(_) => Self::Connect,
             exchange::Error::Broken(_) | exchange::Error::Stale(_) => Self::Broken,
-            exchange::Error::TooLong(_) => Self::Malformed,
+            exchange::Error::TooLong(_) | exchange::Error::Exhausted { .. } => Self::Malformed,
         }
     }
 }
@@ -141,18 +143,26 @@
 }
 
 /// Reads and parses the body of a JSON response.
-async fn read_json<T: serde::de::DeserializeOwned>(mut response: Response) -> Result<T> {
-    let body = response.read_body(MAX_JSON_BYTES).await?;
+async fn read_json<T: serde::de::DeserializeOwned>(
+    mut response: Response,
+    memory: &Budget,
+) -> Result<T> {
+    let body = response.read_body(MAX_JSON_BYTES, memory).await?;
     serde_json::from_slice(&body).map_err(|_error| Error::Malformed)
 }
 
 /// Runs a prompt; while there is no response, probes the engine over new connections.
 ///
 /// `on_head` is called with the head of the response to the call itself.
-pub async fn prefill(address: &str, call: &Prefill, on_head: impl Fn(&Head)) -> Result<Prefilled> {
+pub async fn prefill(
+    address: &str,
+    call: &Prefill,
+    memory: &Budget,
+    on_head: impl Fn(&Head),
+) -> Result<Prefilled> {
     let response = tokio::time::timeout(PREFILL_TIMEOUT, async {
         let response = post_with(address, "/prefill", call, on_head).await?;
-        let prefilled: Prefilled = read_json(response).await?;
+        let prefilled: Prefilled = read_json(response, memory).await?;
         if prefilled.request == call.request { Ok(prefilled) } else { Err(Error::Crossed) }
     });
     tokio::pin!(response);
@@ -160,7 +170,7 @@
         tokio::select! {
             prefilled = &mut response => return prefilled.unwrap_or(Err(Error::Silent)),
             () = tokio::time::sleep(SILENCE_TIMEOUT) => {
-                if let Some(prefilled) = probe_prefill(address, call).await? {
+                if let Some(prefilled) = probe_prefill(address, call, memory).await? {
                     return Ok(prefilled);
                 }
             }
@@ -169,14 +179,18 @@
 }
 
 /// Fetches the result of a prompt over a new connection; `None` while the prompt runs.
-async fn probe_prefill(address: &str, call: &Prefill) -> Result<Option<Prefilled>> {
+async fn probe_prefill(
+    address: &str,
+    call: &Prefill,
+    memory: &Budget,
+) -> Result<Option<Prefilled>> {
     let body = RequestId { request: call.request.clone() };
     let probe = async {
         let response = post(address, "/prefilled", &body).await?;
         if response.head.status == StatusCode::ACCEPTED {
             return Ok(None);
         }
-        read_json(response).await.map(Some)
+        read_json(response, memory).await.map(Some)
     };
     tokio::time::timeout(CALL_TIMEOUT, probe).await.unwrap_or(Err(Error::Silent))
 }
@@ -287,13 +301,13 @@
 }
 
 /// Fetches an engine's load report; `None` if the call fails.
-pub async fn fetch_load(address: &str, on_head: impl Fn(&Head)) -> Option<Load> {
-    get(address, "/load", on_head).await
+pub async fn fetch_load(address: &str, memory: &Budget, on_head: impl Fn(&Head)) -> Option<Load> {
+    get(address, "/load", memory, on_head).await
 }
 
 /// Lists the requests for which an engine holds any state; `None` if the call fails.
-pub async fn list_requests(address: &str) -> Option<Vec<Request>> {
-    let listed: Requests = get(address, "/requests", |_head| {}).await?;
+pub async fn list_requests(address: &str, memory: &Budget) -> Option<Vec<Request>> {
+    let listed: Requests = get(address, "/requests", memory, |_head| {}).await?;
     Some(listed.requests.iter().filter_map(|request| request.parse().ok()).collect())
 }
 
@@ -301,6 +315,7 @@
 async fn get<T: serde::de::DeserializeOwned>(
     address: &str,
     path: &str,
+    memory: &Budget,
     on_head: impl Fn(&Head),
 ) -> Option<T> {
     let call = async {
@@ -309,7 +324,7 @@
         if !response.head.status.is_success() {
             return None;
         }
-        read_json(response).await.ok()
+        read_json(response, memory).await.ok()
     };
     tokio::time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
 }
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -5,6 +5,7 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_exchange::{Framing, Head, HeaderMap};
 use damaskhatch_policy::ending::{Upstream, Verdict};
 use damaskhatch_policy::prelude::Request;
@@ -40,7 +41,8 @@
     pub timeout: Duration,
 }
 
-/// Sends the call over a new connection and reads the complete response.
+/// Sends the call over a new connection and reads the complete response, whose body is taken from
+/// `memory`.
 ///
 /// Also returns whether the body is known to be complete. The call fails with [`Error::Broken`] if
 /// the body is a stream of events and ends inside one, or if it ends with its connection and the
@@ -50,6 +52,7 @@
     address: &str,
     call: &Call,
     request: Request,
+    memory: &Budget,
     is_leaving: impl Fn() -> bool,
     on_head: impl Fn(&Head),
 ) -> Result<(Response, Verdict)> {
@@ -58,7 +61,7 @@
         let sent = send(address, method, target, call.headers.clone(), call.body.clone());
         let mut response = sent.await?;
         on_head(&response.head);
-        let body = response.read_body(MAX_RESPONSE_BYTES).await?;
+        let body = response.read_body(MAX_RESPONSE_BYTES, memory).await?;
         let is_framed = response.framing != Framing::Close;
         let is_resumed = call.headers.contains_key(LAST_EVENT);
         let content = events::content(&response.head.headers, &body, false, is_resumed);
--- a/crates/damaskhatch/tests/explain.rs
+++ b/crates/damaskhatch/tests/explain.rs
@@ -2,6 +2,7 @@
 //! another one, or does not order the lines of several hosts by time.
 
 use damaskhatch::cli::timeline::Timeline;
+use damaskhatch::decision::Journal;
 
 const FIRST: &str = "\
 [2026-08-28T00:02:15.112Z INFO  damaskhatch::decision] decision request=9d28 event=route team=h decode=i-1
@@ -43,3 +44,16 @@
     timeline.read("", log.as_slice()).expect("the log is read");
     assert_eq!(timeline.into_sorted().len(), 2);
 }
+
+/// Guards against long request ids that make the decisions kept take up all memory.
+#[test]
+fn decisions_are_kept_up_to_a_sum_of_bytes() {
+    let journal = Journal::default();
+    let id = |number: usize| format!("{number}-{}", "x".repeat(12_000));
+    for number in 0..1_000 {
+        journal.record(id(number), format_args!("event=test"));
+    }
+    let kept = (0..1_000).filter(|number| !journal.explain(&id(*number)).is_empty()).count();
+    assert!((1..=100).contains(&kept), "{kept} decisions of 24 KB each are kept");
+    assert_eq!(journal.explain(&id(999)).len(), 1, "the newest is kept");
+}
--- a/crates/damaskhatch/tests/truncated_responses.rs
+++ b/crates/damaskhatch/tests/truncated_responses.rs
@@ -9,6 +9,7 @@
 use damaskhatch::upstream::message::Prefill;
 use damaskhatch::upstream::plain::{self, Call};
 use damaskhatch_exchange::HeaderMap;
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::{Request, Tag};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -32,6 +33,10 @@
     address
 }
 
+fn memory() -> Budget {
+    Budget::new(64 << 20)
+}
+
 fn look() -> Call {
     Call {
         method: Method::GET,
@@ -45,7 +50,8 @@
 async fn call(bytes: &'static str) -> Result<Vec<u8>, Error> {
     let call = look();
     let (response, _verdict) =
-        plain::call(&start_server(bytes).await, &call, REQUEST, || false, |_| {}).await?;
+        plain::call(&start_server(bytes).await, &call, REQUEST, &memory(), || false, |_| {})
+            .await?;
     Ok(response.body.to_vec())
 }
 
@@ -84,7 +90,8 @@
             let _read = stream.read(&mut request).await;
             let _written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbo").await;
         });
-        let called = plain::call(&address, &look(), REQUEST, || is_leaving, |_| {}).await;
+        let called =
+            plain::call(&address, &look(), REQUEST, &memory(), || is_leaving, |_| {}).await;
         let body = called.map(|(response, verdict)| (response.body, verdict));
         let expected = if is_leaving {
             Ok((Bytes::from("bo"), Verdict::Unverified))
@@ -105,13 +112,16 @@
     };
     let truncated = "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"request\":";
     assert_eq!(
-        engine::prefill(&start_server(truncated).await, &prompt, |_| {}).await,
+        engine::prefill(&start_server(truncated).await, &prompt, &memory(), |_| {}).await,
         Err(Error::Broken)
     );
     let closed = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = closed.local_addr().expect("an address").to_string();
     drop(closed);
-    assert_eq!(engine::prefill(&address, &prompt, |_| {}).await, Err(Error::Refused));
-    assert_eq!(engine::prefill("no address", &prompt, |_| {}).await, Err(Error::Connect));
+    assert_eq!(engine::prefill(&address, &prompt, &memory(), |_| {}).await, Err(Error::Refused));
+    assert_eq!(
+        engine::prefill("no address", &prompt, &memory(), |_| {}).await,
+        Err(Error::Connect)
+    );
     assert!(plain::is_dead(&address).await);
 }
--- /dev/null
+++ b/crates/exchange/src/guarded.rs
@@ -0,0 +1,94 @@
+//! A connection on which the bytes between two parts of a response are limited.
+//!
+//! The HTTP library skips any number of interim responses, and of zeros before the length of a chunk. It
+//! does so without a pause while more bytes are there, so that one connection could keep a whole thread
+//! busy, until a time limit of its reader.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The most bytes that are read on a connection before its reader gets a head or bytes of a body.
+///
+/// Several times what is read ahead.
+pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 256 << 10;
+
+/// The bytes read since the reader last got any part of a response; clones share it.
+#[derive(Debug, Clone)]
+pub struct Guard(Arc<AtomicUsize>);
+
+impl Guard {
+    /// Begins to count anew: a request is sent, or a part of its response has been received.
+    pub fn record_progress(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+}
+
+/// A connection with a [`Guard`].
+#[derive(Debug)]
+pub struct Stream {
+    inner: TcpStream,
+    guard: Guard,
+}
+
+impl Stream {
+    /// Guards a connection on which nothing has been read.
+    pub fn new(inner: TcpStream) -> (Self, Guard) {
+        let guard = Guard(Arc::new(AtomicUsize::new(0)));
+        (Self { inner, guard: guard.clone() }, guard)
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let count = &self.guard.0;
+        let counted = count.load(Ordering::Relaxed) + buffer.filled().len() - before;
+        count.store(counted, Ordering::Relaxed);
+        if counted > MAX_BYTES_WITHOUT_PROGRESS {
+            let reason = format!("no part of a response in {counted} bytes");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, pieces)
+    }
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -21,8 +21,15 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+mod guarded;
+pub mod memory;
 pub mod pool;
 
+pub use guarded::MAX_BYTES_WITHOUT_PROGRESS;
+
+use guarded::Guard;
+use memory::{Budget, Buffer};
+
 pub use http::response::Parts as Head;
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 
@@ -32,6 +39,9 @@
 /// blocks for minutes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The longest response head, and the most bytes read ahead on a connection.
+const MAX_READ_BYTES: usize = 64 << 10;
+
 /// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
@@ -45,6 +55,13 @@
     Stale(String),
     /// response body exceeds {0} bytes
     TooLong(usize),
+    /// no memory for {bytes} bytes of a body beside {used} bytes of all bodies
+    Exhausted {
+        /// The length that the body would have had.
+        bytes: usize,
+        /// The bytes in use.
+        used: usize,
+    },
 }
 
 impl std::error::Error for Error {}
@@ -116,6 +133,7 @@
     /// The connection that it came on.
     pub connection: Connection,
     body: Incoming,
+    guard: Guard,
     /// `None` once the connection is kept for another request.
     driver: Option<Driver>,
     /// Set if the connection is kept after this response.
@@ -124,11 +142,12 @@
 
 impl Response {
     /// Splits a response whose connection `driver` drives.
-    fn new(response: http::Response<Incoming>, driver: Driver) -> Self {
+    fn new(response: http::Response<Incoming>, driver: Driver, guard: Guard) -> Self {
+        guard.record_progress();
         let (head, body) = response.into_parts();
         let framing = Framing::new(&head, body.size_hint().exact());
         let connection = Connection::New;
-        Self { head, framing, connection, body, driver: Some(driver), return_to: None }
+        Self { head, framing, connection, body, guard, driver: Some(driver), return_to: None }
     }
 
     /// Keeps the connection of a complete response, if it may be kept.
@@ -153,43 +172,52 @@
             };
             return match frame {
                 Ok(frame) => match frame.into_data() {
-                    Ok(data) if !data.is_empty() => Some(Ok(data)),
+                    Ok(data) if !data.is_empty() => {
+                        self.guard.record_progress();
+                        Some(Ok(data))
+                    }
                     // Trailers and empty frames carry no body bytes.
                     _ => continue,
                 },
-                Err(error) => Some(Err(Error::Broken(error.to_string()))),
+                Err(error) => Some(Err(Error::Broken(describe(&error)))),
             };
         }
     }
 
-    /// Reads the rest of the body; fails with [`Error::TooLong`] if it exceeds `limit` bytes.
+    /// Reads the rest of the body, whose bytes are taken from `budget`.
     ///
-    /// The first chunk is accepted at any length.
-    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes> {
-        let Some(first) = self.next_chunk().await.transpose()? else {
-            return Ok(Bytes::new());
-        };
-        let mut body = BytesMut::from(first);
-        while let Some(chunk) = self.next_chunk().await {
-            body.extend_from_slice(&chunk?);
-            if body.len() > limit {
-                return Err(Error::TooLong(limit));
+    /// # Errors
+    ///
+    /// Fails as [`Buffer::push`] does. Then, and if it breaks off, the connection is closed.
+    pub async fn read_body(&mut self, limit: usize, budget: &Budget) -> Result<Bytes> {
+        let read = async {
+            let mut body = self.begin_body(limit, budget)?;
+            while let Some(chunk) = self.next_chunk().await {
+                body.push(&chunk?)?;
             }
+            Ok(body.freeze())
+        };
+        let body = read.await;
+        if body.is_err() {
+            self.close();
         }
-        Ok(body.freeze())
+        body
     }
 
     /// Reads the rest of the body while bytes keep arriving, however long it takes in all.
     ///
+    /// # Errors
+    ///
     /// Fails with [`Error::Broken`] if the first byte has not arrived at `deadline`, or a later one
-    /// not within `idle_timeout` of the one before it; see [`Self::read_body`] for `limit`.
+    /// not within `idle_timeout` of the one before it, and otherwise as [`Self::read_body`] does.
     pub async fn read_body_in_progress(
         &mut self,
         limit: usize,
+        budget: &Budget,
         mut deadline: Instant,
         idle_timeout: Duration,
     ) -> Result<Bytes> {
-        let mut body = BytesMut::new();
+        let mut body = self.begin_body(limit, budget)?;
         loop {
             let stalled = |_elapsed| {
                 let length = body.len();
@@ -199,13 +227,18 @@
             else {
                 return Ok(body.freeze());
             };
-            body.extend_from_slice(&chunk?);
-            if body.len() > limit {
-                return Err(Error::TooLong(limit));
-            }
+            body.push(&chunk?)?;
             deadline = deadline.max(Instant::now() + idle_timeout);
         }
     }
+
+    /// An empty buffer for the body, unless its stated length already exceeds `limit`.
+    fn begin_body(&self, limit: usize, budget: &Budget) -> Result<Buffer> {
+        match self.body.size_hint().exact() {
+            Some(length) if length > limit as u64 => Err(Error::TooLong(limit)),
+            _ => Ok(Buffer::new(budget, limit)),
+        }
+    }
 }
 
 /// Sends a request to `address` and waits for the head of the response.
@@ -217,17 +250,28 @@
     connect_timeout: Duration,
     request: Request<Bytes>,
 ) -> Result<Response> {
-    let (mut sender, driver) = connect(address, connect_timeout).await?;
+    let Connected { mut sender, driver, guard } = connect(address, connect_timeout).await?;
     let response = sender.send_request(request.map(Full::new)).await;
-    let response = response.map_err(|error| Error::Broken(error.to_string()))?;
-    Ok(Response::new(response, driver))
+    let response = response.map_err(|error| Error::Broken(describe(&error)))?;
+    Ok(Response::new(response, driver, guard))
+}
+
+/// The text of an error of the HTTP library, with that of its cause.
+fn describe(error: &hyper::Error) -> String {
+    use std::error::Error as _;
+    error.source().map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Connected {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+    guard: Guard,
 }
 
 /// Opens a connection; drives it until the driver is dropped.
-async fn connect(
-    address: SocketAddr,
-    connect_timeout: Duration,
-) -> Result<(SendRequest<Full<Bytes>>, Driver)> {
+async fn connect(address: SocketAddr, connect_timeout: Duration) -> Result<Connected> {
     let unsent = |error: std::io::Error| Error::Unsent(error.to_string());
     let stream = timeout(connect_timeout, TcpStream::connect(address))
         .await
@@ -240,8 +284,10 @@
     socket2::SockRef::from(&stream)
         .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
         .map_err(unsent)?;
+    let (stream, guard) = guarded::Stream::new(stream);
     let (sender, connection) = hyper::client::conn::http1::Builder::new()
         .title_case_headers(true)
+        .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Error::Unsent(error.to_string()))?;
@@ -249,5 +295,5 @@
         // The reader of the response receives the same error and reports it.
         let _reported = connection.await;
     }));
-    Ok((sender, driver))
+    Ok(Connected { sender, driver, guard })
 }
--- a/crates/exchange/src/pool.rs
+++ b/crates/exchange/src/pool.rs
@@ -15,7 +15,10 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::{Instant, timeout};
 
-use crate::{Connection, Driver, Error, Framing, Head, Response, Result, connect};
+use crate::guarded::Guard;
+use crate::{
+    Connected, Connection, Driver, Error, Framing, Head, Response, Result, connect, describe,
+};
 
 /// The most connections kept to one address; further ones are closed.
 ///
@@ -49,8 +52,7 @@
 /// A connection without a request.
 #[derive(Debug)]
 struct Kept {
-    sender: SendRequest<Full<Bytes>>,
-    driver: Driver,
+    connected: Connected,
     until: Instant,
 }
 
@@ -60,19 +62,20 @@
     pool: Pool,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    guard: Guard,
     idle: Duration,
 }
 
 impl Return {
     /// Returns the connection that `driver` drives.
     pub(crate) fn keep(self, driver: Driver) {
-        let Self { pool, address, sender, idle } = self;
+        let Self { pool, address, sender, guard, idle } = self;
         let now = Instant::now();
         let mut connections = pool.lock();
         connections.sweep(now);
         let kept = connections.kept.entry(address).or_default();
         if kept.len() < MAX_KEPT_PER_ADDRESS {
-            kept.push(Kept { sender, driver, until: now + idle });
+            kept.push(Kept { connected: Connected { sender, driver, guard }, until: now + idle });
         }
     }
 }
@@ -85,7 +88,7 @@
         }
         self.swept_at = Some(now);
         self.kept.retain(|_, kept| {
-            kept.retain(|one| now < one.until && !one.sender.is_closed());
+            kept.retain(|one| now < one.until && !one.connected.sender.is_closed());
             !kept.is_empty()
         });
     }
@@ -117,7 +120,7 @@
         let mut connections = self.lock();
         connections.sweep(now);
         let kept = connections.kept.get_mut(&address)?;
-        kept.retain(|one| now < one.until && !one.sender.is_closed());
+        kept.retain(|one| now < one.until && !one.connected.sender.is_closed());
         kept.pop()
     }
 
@@ -138,16 +141,17 @@
         let mut request = request.map(Full::new);
         // Nothing would tell the response to a request without an id from an earlier one.
         let may_take = self.is_private || own_id.is_some();
-        while let Some(Kept { mut sender, driver, .. }) =
-            may_take.then(|| self.take(address)).flatten()
+        while let Some(Kept { mut connected, .. }) = may_take.then(|| self.take(address)).flatten()
         {
-            if !matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
+            let ready = timeout(READY_TIMEOUT, connected.sender.ready()).await;
+            if !matches!(ready, Ok(Ok(()))) {
                 continue;
             }
-            let mut unsent = match sender.try_send_request(request).await {
+            connected.guard.record_progress();
+            let mut unsent = match connected.sender.try_send_request(request).await {
                 Ok(response) => {
                     let mut response =
-                        self.build(address, response, sender, driver, own_id.as_ref(), id);
+                        self.build(address, response, connected, own_id.as_ref(), id);
                     response.connection = Connection::Kept;
                     if !self.is_answer(&response.head, id, own_id.as_ref()) {
                         self.forget(address);
@@ -160,15 +164,15 @@
             };
             self.forget(address);
             let Some(returned) = unsent.take_message() else {
-                return Err(Error::Stale(unsent.into_error().to_string()));
+                return Err(Error::Stale(describe(unsent.error())));
             };
             request = returned;
         }
         let connected = connect(address, connect_timeout).await;
-        let (mut sender, driver) = connected.inspect_err(|_failed| self.forget(address))?;
-        let response = sender.send_request(request).await;
-        let response = response.map_err(|error| Error::Broken(error.to_string()))?;
-        Ok(self.build(address, response, sender, driver, own_id.as_ref(), id))
+        let mut connected = connected.inspect_err(|_failed| self.forget(address))?;
+        let response = connected.sender.send_request(request).await;
+        let response = response.map_err(|error| Error::Broken(describe(&error)))?;
+        Ok(self.build(address, response, connected, own_id.as_ref(), id))
     }
 
     /// Whether a response is known to be that of the request `own_id`, which it must name once.
@@ -182,16 +186,16 @@
         &self,
         address: SocketAddr,
         response: http::Response<hyper::body::Incoming>,
-        sender: SendRequest<Full<Bytes>>,
-        driver: Driver,
+        connected: Connected,
         own_id: Option<&HeaderValue>,
         id: &HeaderName,
     ) -> Response {
-        let mut response = Response::new(response, driver);
+        let Connected { sender, driver, guard } = connected;
+        let mut response = Response::new(response, driver, guard.clone());
         let idle = idle_time(&response.head);
         let is_delimited = response.framing != Framing::Close;
         if is_delimited && self.is_answer(&response.head, id, own_id) && !idle.is_zero() {
-            response.return_to = Some(Return { pool: self.clone(), address, sender, idle });
+            response.return_to = Some(Return { pool: self.clone(), address, sender, guard, idle });
         }
         response
     }
--- a/crates/exchange/tests/pool.rs
+++ b/crates/exchange/tests/pool.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_exchange::pool::Pool;
 use damaskhatch_exchange::{Error, HeaderName, Request, Result};
 use proptest::prelude::*;
@@ -111,7 +112,7 @@
     let request = Request::builder().uri("/").header("host", "x").header(ID, id);
     let request = request.body(Bytes::new()).expect("a request");
     let mut response = pool.send(address, Duration::from_secs(1), request, &ID).await?;
-    response.read_body(1 << 20).await
+    response.read_body(1 << 20, &Budget::new(4 << 20)).await
 }
 
 fn arrived(arrivals: &Arrivals) -> Vec<(usize, String)> {
@@ -326,7 +327,8 @@
     let request = Request::builder().method("POST").uri("/").header("host", "x").header(ID, "one");
     let request = request.body(body).expect("a request");
     let mut response = pool.send(address, Duration::from_secs(1), request, &ID).await;
-    let first = response.as_mut().expect("a response").read_body(1 << 20).await;
+    let first =
+        response.as_mut().expect("a response").read_body(1 << 20, &Budget::new(4 << 20)).await;
     assert_eq!(first, Ok(Bytes::from("one")));
     drop(response);
     assert_eq!(call(&pool, address, "two").await, Ok(Bytes::from("two")));
--- a/crates/exchange/tests/truncated_bodies.rs
+++ b/crates/exchange/tests/truncated_bodies.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_exchange::{Error, Framing as Reported, Request, send};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -67,7 +68,7 @@
     tokio::spawn(serve(listener, bytes, end));
     let request = Request::builder().uri("/").header("host", "x").body(Bytes::new());
     let mut response = send(address, Duration::from_secs(1), request.expect("a request")).await?;
-    response.read_body(1 << 20).await
+    response.read_body(1 << 20, &Budget::new(4 << 20)).await
 }
 
 #[tokio::test]
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use damaskhatch::memory::Budgets;
 use damaskhatch::upstream::engine;
 use damaskhatch::upstream::message::{Decode, Event, Prefill};
 use futures_util::StreamExt;
@@ -16,6 +17,8 @@
 
 /// Number of requests that the demo sends as load.
 const DEMO_REQUESTS: u64 = 120;
+/// The memory for direct requests, in MiB.
+const MEMORY_MB: u64 = 128;
 /// Prompt length in the latency benchmark, in tokens.
 const LATENCY_PROMPT_TOKENS: u32 = 64;
 /// Output limit in the latency benchmark, in tokens.
@@ -139,7 +142,8 @@
     let (id, team, prompt) = (request, "direct".to_owned(), prompt.to_owned());
     let call =
         Prefill { request: id.clone(), team: team.clone(), prompt: prompt.clone(), priority: 0 };
-    let Ok(prefilled) = engine::prefill(&prefill, &call, |_headers| {}).await else {
+    let memory = Budgets::new(MEMORY_MB).responses;
+    let Ok(prefilled) = engine::prefill(&prefill, &call, &memory, |_headers| {}).await else {
         return;
     };
     let call = Decode {
--- a/crates/standins/src/engine/decode.rs
+++ b/crates/standins/src/engine/decode.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::state::{Engine, Running};
-use super::{CRASH_CODE, CRASH_DECODE_MARK};
+use super::{CRASH_CODE, CRASH_DECODE_MARK, ENDLESS_MARK};
 use crate::completion::{prompt_tokens, token};
 
 /// The interval of heartbeats while a stream has no token to send.
@@ -21,6 +21,9 @@
 /// How long the token stream of a finished request can still be resumed.
 const FINISHED_TTL: Duration = Duration::from_secs(1);
 
+/// The text of each token without end, which is just short enough for a line.
+const ENDLESS_TOKEN_BYTES: usize = 60_000;
+
 /// Why a decode call was not started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -178,6 +181,11 @@
             return None;
         }
         loop {
+            if self.prompt.contains(ENDLESS_MARK) {
+                let index = self.next;
+                self.next += 1;
+                return Some(Event::Token { index, text: "x".repeat(ENDLESS_TOKEN_BYTES) });
+            }
             if self.next < *self.generated.borrow() {
                 let index = self.next;
                 self.next += 1;
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -53,6 +53,8 @@
 pub const CRASH_MARK: &str = "CRASH-ENGINE";
 /// A prompt that contains this text makes the engine that decodes it exit.
 pub const CRASH_DECODE_MARK: &str = "CRASH-DECODE";
+/// A prompt with this text makes the decode engine send long tokens without end.
+pub const ENDLESS_MARK: &str = "ENDLESS";
 /// The exit code of a crash, which a shell reports for a process killed by SIGKILL.
 pub(crate) const CRASH_CODE: i32 = 137;
 /// The interval at which expired exports and cancellations are removed.
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -11,7 +11,7 @@
 use actix_web::http::ConnectionType;
 use actix_web::middleware::from_fn;
 use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer, web};
-use futures_util::stream::{StreamExt, once};
+use futures_util::stream::{StreamExt, once, unfold};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::time::sleep;
@@ -49,11 +49,16 @@
     is_unframed: bool,
     /// The number of bytes of such a response after which the process crashes.
     crash_after_bytes: Option<usize>,
+    /// The bytes a second of a body without end.
+    endless_bytes_per_s: Option<usize>,
 }
 
 /// The time in which the bytes before a crash reach the caller.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// A piece of a body without end.
+const ENDLESS_PIECE: &[u8] = &[b'x'; 64 << 10];
+
 type Shared = web::Data<Service>;
 
 /// Serves the service's HTTP interface at an address until the process ends.
@@ -102,7 +107,13 @@
     let body = json!({ "call": id, "path": request.path(), "body": text });
     let mut response = HttpResponse::Ok();
     response.insert_header(("x-request-id", header("x-request-id")));
-    if options.is_unframed {
+    if let Some(bytes_per_s) = options.endless_bytes_per_s {
+        let body = unfold((), move |()| async move {
+            sleep(Duration::from_secs_f64(ENDLESS_PIECE.len() as f64 / bytes_per_s as f64)).await;
+            Some((Ok::<_, io::Error>(web::Bytes::from_static(ENDLESS_PIECE)), ()))
+        });
+        response.streaming(body)
+    } else if options.is_unframed {
         respond_unframed(response, body.to_string(), options.crash_after_bytes)
     } else {
         response.json(body)
--- a/crates/standins/tests/not_run.rs
+++ b/crates/standins/tests/not_run.rs
@@ -153,3 +153,33 @@
         }
     }
 }
+
+/// Guards against recorded responses that take up all memory, and against a repeat that runs because the
+/// response to its original is no longer kept.
+#[actix_web::test]
+async fn a_repeat_of_a_call_whose_response_was_forgotten_does_not_run() {
+    let fleet = start_proxied(|_| {}).await;
+    let bearer = format!("Bearer {}", fleet.keys["release"]);
+    let path = format!("/services/{SERVICE}/book");
+    // The service responds with the body of the call: 8 MB in all.
+    let body = "x".repeat(200_000);
+    let (mut replayed, mut forgotten) = (0, 0);
+    for round in 0..2 {
+        for number in 0..40 {
+            let (id, key) = (format!("long-{number}"), format!("key-{number}"));
+            let headers = [("authorization", &*bearer), ("x-call-id", &*id), (KEY_HEADER, &*key)];
+            let response = call(fleet.caller_addresses()[0], &path, &headers, &body).await;
+            let response = response.expect("the host responds");
+            assert_eq!(count_runs(&fleet, &id).await, 1, "{id} in round {round}");
+            match response.status {
+                200 => replayed += round,
+                502 => forgotten += round,
+                status => panic!("{id} got status {status}"),
+            }
+        }
+    }
+    assert!(replayed >= 5 && forgotten >= 5, "{replayed} replayed, {forgotten} forgotten");
+}
+
+/// The header of the idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use damaskhatch_exchange as exchange;
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_policy::position::Position;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -41,18 +42,20 @@
     protocol: Protocol,
     era: era::Tracker,
     calls: Calls,
+    memory: Budget,
 }
 
 impl Client {
     /// Creates a client of the store at `address` that speaks `protocol`, records the eras that it
-    /// sees in `era` and counts its calls in `calls`.
+    /// sees in `era`, counts its calls in `calls` and takes the bodies of responses from `memory`.
     pub const fn new(
         address: SocketAddr,
         protocol: Protocol,
         era: era::Tracker,
         calls: Calls,
+        memory: Budget,
     ) -> Self {
-        Self { address, protocol, era, calls }
+        Self { address, protocol, era, calls, memory }
     }
 
     /// Writes this host's entry in the list of hosts; does nothing where the platform keeps
@@ -235,7 +238,12 @@
             .await
             .map_err(|_elapsed| Error::Unreachable(format!("no response within {limit:?}")))?
             .map_err(unreachable)?;
-        let body = response.read_body_in_progress(MAX_RESPONSE_BYTES, deadline, CALL_TIMEOUT);
+        let body = response.read_body_in_progress(
+            MAX_RESPONSE_BYTES,
+            &self.memory,
+            deadline,
+            CALL_TIMEOUT,
+        );
         let body = timeout(BODY_TIMEOUT, body).await.map_err(|_elapsed| {
             Error::Unreachable(format!("the body was not complete within {BODY_TIMEOUT:?}"))
         })?;
--- a/crates/store/tests/era.rs
+++ b/crates/store/tests/era.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
 use damaskhatch_store::message::{Grant, Swap};
@@ -57,7 +58,13 @@
     }
 
     fn client(&self) -> Client {
-        Client::new(self.address, Protocol::OWN, era::Tracker::default(), Calls::unreported())
+        Client::new(
+            self.address,
+            Protocol::OWN,
+            era::Tracker::default(),
+            Calls::unreported(),
+            Budget::new(64 << 20),
+        )
     }
 }
 
--- a/crates/store/tests/transfers.rs
+++ b/crates/store/tests/transfers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use damaskhatch_exchange::memory::Budget;
 use damaskhatch_store::calls::Calls;
 use damaskhatch_store::era;
 use damaskhatch_store::prelude::{Client, Error, Protocol};
@@ -40,7 +41,13 @@
 #[tokio::test]
 async fn a_value_is_read_as_long_as_its_bytes_arrive() {
     let address = start_store(10, true).await;
-    let client = Client::new(address, Protocol::OWN, era::Tracker::default(), Calls::unreported());
+    let client = Client::new(
+        address,
+        Protocol::OWN,
+        era::Tracker::default(),
+        Calls::unreported(),
+        Budget::new(64 << 20),
+    );
     let item = client.get("key").await.expect("the whole value");
     assert_eq!(item.value.len(), 100_000);
 }
@@ -48,7 +55,13 @@
 #[tokio::test]
 async fn a_read_fails_soon_after_its_body_stops() {
     let address = start_store(3, false).await;
-    let client = Client::new(address, Protocol::OWN, era::Tracker::default(), Calls::unreported());
+    let client = Client::new(
+        address,
+        Protocol::OWN,
+        era::Tracker::default(),
+        Calls::unreported(),
+        Budget::new(64 << 20),
+    );
     let started = Instant::now();
     let read = client.get("key").await;
     assert!(matches!(read, Err(Error::Unreachable(_))), "{read:?}");
