End requests with a response before the time of a planned stop is up

Cause: drain_s was counted from the end of the notice, so a long stop took up to 10.5 s of 8 s and always ended with SIGKILL; no time limit knew of the end of the host.

Change: one time for the whole stop. Half a second before its end, what is not complete gets 504 with an unknown outcome, on both faces; the own interface closes kept connections during the stop as routes do.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use actix_web::http::ConnectionType;
 use actix_web::{HttpRequest, HttpResponse, web};
 use damaskhatch_exchange::memory::Buffer;
 use damaskhatch_exchange::{self as exchange, Framing, HeaderMap, StatusCode};
@@ -269,8 +270,8 @@
         .route("/v1/completions", web::post().to(completions))
         .route("/v1/chat/completions", web::post().to(chat_completions))
         .route("/v1/models", web::get().to(list_models))
-        .route("/services/{name}", web::route().to(plain::handle))
-        .route("/services/{name}/{path:.*}", web::route().to(plain::handle))
+        .route("/services/{name}", web::route().to(plain_service))
+        .route("/services/{name}/{path:.*}", web::route().to(plain_service))
         .default_service(web::route().to(refuse_unknown_path));
 }
 
@@ -279,7 +280,7 @@
     body: web::Payload,
     entry: web::Data<Entry>,
 ) -> HttpResponse {
-    completion::handle(Style::Text, &request, body, &entry).await
+    end_at_stop(&entry, completion::handle(Style::Text, &request, body, &entry)).await
 }
 
 async fn chat_completions(
@@ -287,7 +288,34 @@
     body: web::Payload,
     entry: web::Data<Entry>,
 ) -> HttpResponse {
-    completion::handle(Style::Chat, &request, body, &entry).await
+    end_at_stop(&entry, completion::handle(Style::Chat, &request, body, &entry)).await
+}
+
+async fn plain_service(
+    request: HttpRequest,
+    body: web::Payload,
+    entry: web::Data<Entry>,
+) -> HttpResponse {
+    end_at_stop(&entry, plain::handle(request, body, entry.clone())).await
+}
+
+/// Responds for a handler that is not done when this host must have stopped.
+async fn end_at_stop(entry: &Entry, handled: impl Future<Output = HttpResponse>) -> HttpResponse {
+    let mut response = tokio::select! {
+        response = handled => response,
+        () = entry.shared.stop.wait() => {
+            entry.refuse(entry.shared.next_request(), refusal::at_stop())
+        }
+    };
+    close_if_draining(entry, &mut response);
+    response
+}
+
+/// Has the caller open a new connection, which reaches a host that is not draining.
+pub fn close_if_draining(entry: &Entry, response: &mut HttpResponse) {
+    if entry.shared.is_draining() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
 }
 
 async fn refuse_unknown_path(entry: web::Data<Entry>) -> HttpResponse {
--- a/crates/damaskhatch/src/entry/refusal.rs
+++ b/crates/damaskhatch/src/entry/refusal.rs
@@ -18,6 +18,13 @@
     pub may_have_run: bool,
 }
 
+/// The refusal of a request that is not complete when its host must have stopped.
+///
+/// Whether it has run is not known where it is ended.
+pub fn at_stop() -> Refusal {
+    Refusal::from(Kind::UpstreamTimeout).with_may_have_run(true)
+}
+
 impl From<Kind> for Refusal {
     fn from(kind: Kind) -> Self {
         Self { kind, retry_after: None, may_have_run: false }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::limit;
-use damaskhatch_policy::prelude::Tag;
+use damaskhatch_policy::prelude::{Instant, Tag};
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_policy::tenure;
@@ -35,8 +35,12 @@
 use crate::relay::{self, load::Loads};
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::stop::{self, Stop};
 use crate::upstream::statement::Availability;
 
+/// The time between the end of the last requests and the end of a draining host, in which the responses are
+/// sent.
+const END_TIME: Duration = Duration::from_millis(250);
 /// How long a draining host waits for other hosts to take over its bucket slots.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long after its start a host reports that it is not ready because no host holds any
@@ -81,7 +85,7 @@
         resuming: Loads::default(),
         era: era::Tracker::default(),
         deployment,
-        draining: Arc::new(AtomicBool::new(false)),
+        stop: Stop::default(),
         serial: Arc::new(AtomicU64::new(1)),
         settings: Arc::new(settings),
     };
@@ -242,18 +246,27 @@
 }
 
 /// Drains the host: it takes no new roles, keeps serving for `notice_ms` so that load balancers
-/// see the readiness change, then waits until every stream has ended.
+/// see the readiness change, then waits until every request has ended.
+///
+/// All of it takes `drain_s` at most.
 async fn drain(shared: &Shared, caller_server: &ServerHandle) {
+    let limits = &shared.settings.limits;
+    let (started, time) = (Instant::now(), Duration::from_secs(limits.drain_s));
     log::info!("event=draining in_flight={}", shared.metrics.in_flight.get());
-    shared.draining.store(true, Ordering::Relaxed);
-    tokio::time::sleep(Duration::from_millis(shared.settings.limits.notice_ms)).await;
-    let limit = Duration::from_secs(shared.settings.limits.drain_s);
-    let started = tokio::time::Instant::now();
+    shared.stop.begin(time);
+    let end = shared.stop.requests_end().unwrap_or(started) + END_TIME;
+    let notice = Duration::from_millis(limits.notice_ms);
+    tokio::time::sleep(stop::notice_time(notice, time)).await;
     let stopping = caller_server.stop(true);
     tokio::pin!(stopping);
     loop {
         tokio::select! {
             () = &mut stopping => break,
+            () = tokio::time::sleep_until(end) => {
+                let in_flight = shared.metrics.in_flight.get();
+                log::warn!("event=drain_incomplete in_flight={in_flight} time_s={}", limits.drain_s);
+                break;
+            }
             () = tokio::time::sleep(Duration::from_secs(1)) => {
                 let in_flight = shared.metrics.in_flight.get();
                 log::info!("event=draining in_flight={in_flight}");
@@ -262,12 +275,12 @@
     }
     // Teams lose no tokens when slots are handed over; a takeover after the host has stopped
     // would cost them some.
-    let handover_deadline = tokio::time::Instant::now() + HANDOVER_TIMEOUT;
-    while shared.metrics.slots_held.get() > 0 && tokio::time::Instant::now() < handover_deadline {
+    let handover_deadline = (Instant::now() + HANDOVER_TIMEOUT).min(end);
+    while shared.metrics.slots_held.get() > 0 && Instant::now() < handover_deadline {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     // The process must not exit before engines have confirmed its cancellations.
-    while shared.metrics.cancels_open.get() > 0 && started.elapsed() < limit {
+    while shared.metrics.cancels_open.get() > 0 && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod relay;
 pub mod settings;
 pub mod shared;
+pub mod stop;
 pub mod supervise;
 pub mod upstream;
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -20,14 +20,13 @@
 pub mod stream;
 pub mod version;
 
-use std::time::Duration;
-
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
+use damaskhatch_policy::prelude::Duration;
 
-use crate::entry::Entry;
 use crate::entry::closed::Closed;
 use crate::entry::refusal::Refusal;
+use crate::entry::{Entry, close_if_draining, refusal};
 
 /// Registers the handler that serves every path of the callers' interface.
 pub fn configure(config: &mut web::ServiceConfig) {
@@ -55,13 +54,11 @@
             entry.shared.metrics.requests.with_label_values(&["routed", "cancelled"]).inc();
             Ok(HttpResponse::BadRequest().finish())
         }
+        () = entry.shared.stop.wait() => Err(refusal::at_stop()),
     };
     entry.shared.metrics.in_flight.dec();
     let mut response = result.unwrap_or_else(|refusal| refuse(&entry, &label, refusal));
-    if entry.shared.is_draining() {
-        // The caller must open a new connection, which reaches a host that is not draining.
-        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
-    }
+    close_if_draining(&entry, &mut response);
     response
 }
 
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -124,6 +124,8 @@
     let requested =
         parse_number(request.headers(), dialect.headers.deadline).map(Duration::from_millis);
     let deadline = arrived_at + requested.unwrap_or(route.time_limit);
+    // An upstream must not go on when this host has ended.
+    let deadline = entry.shared.stop.requests_end().map_or(deadline, |end| deadline.min(end));
     let route = route.clone();
     let body = read_body(entry, payload).await?;
     let team = caller.as_ref().map_or(Tag(0), |caller| caller.tag);
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -255,7 +255,7 @@
         memory_mb: u64, Some("128"), within(32..=1_048_576),
             "the memory that the process may use, in MiB; three fifths of it are for bodies";
         drain_s: u64, Some("300"), within(1..=86_400),
-            "how long a graceful stop waits for streams to end, in seconds";
+            "the time for a graceful stop, in seconds, after which requests are ended";
     }
     /// How engines are shared between teams and between late and on-time requests.
     schedule: Schedule {
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -1,7 +1,7 @@
 //! State and handles that all actors and request handlers of a host share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
@@ -25,6 +25,7 @@
 use crate::peers::Outbox;
 use crate::relay::load::Loads;
 use crate::settings::Settings;
+use crate::stop::Stop;
 use crate::upstream::statement::Availability;
 
 /// The shared state and handles of a host, cloned into every actor and worker thread.
@@ -74,8 +75,8 @@
     pub era: era::Tracker,
     /// The protocols and key layout of the environment that the host runs in.
     pub deployment: Deployment,
-    /// Set once the host has begun to drain.
-    pub draining: Arc<AtomicBool>,
+    /// The host's planned stop.
+    pub stop: Stop,
     /// The serial number of the next request.
     pub serial: Arc<AtomicU64>,
 }
@@ -158,8 +159,8 @@
         Request { host: self.host, incarnation: self.incarnation, serial }
     }
 
-    /// Whether the host has begun to drain.
+    /// Whether the host has begun to stop.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.stop.has_begun()
     }
 }
