Compare the id of a response before believing that a request did not run

A stream got 503 after it had run at two engines, a booking 503 after one run.

Cause: the mark of a request that did not run, and status 421, were looked for before the id of the response was compared. On kept connections responses must name their request, so these were sound; requests that may run once go on connections of their own.

Change: the id goes first, on routes as on the own interface, where calls to engines now name their request in a header. What a response to another request says of its upstream is not heard.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -280,7 +280,8 @@
     body: web::Payload,
     entry: web::Data<Entry>,
 ) -> HttpResponse {
-    end_at_stop(&entry, completion::handle(Style::Text, &request, body, &entry)).await
+    let handled = Box::pin(completion::handle(Style::Text, &request, body, &entry));
+    end_at_stop(&entry, handled).await
 }
 
 async fn chat_completions(
@@ -288,7 +289,8 @@
     body: web::Payload,
     entry: web::Data<Entry>,
 ) -> HttpResponse {
-    end_at_stop(&entry, completion::handle(Style::Chat, &request, body, &entry)).await
+    let handled = Box::pin(completion::handle(Style::Chat, &request, body, &entry));
+    end_at_stop(&entry, handled).await
 }
 
 async fn plain_service(
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -220,10 +220,18 @@
     Ok(Complete { head: response.head, framing, body, verdict })
 }
 
-/// Rejects a response that declines the request or carries the id of another one.
+/// Rejects a response that carries the id of another request, or that declines this one.
+///
+/// The id goes first: what an upstream says of another request, such as that it did not run, says nothing
+/// about this one. Only the first response on a connection of its own may lack an id.
 fn check_response(entry: &Entry, routed: &Routed, response: &Response) -> Result<(), Failure> {
     let names = &entry.shared.deployment.dialect.headers;
     let head = &response.head;
+    let mut echoed = head.headers.get_all(names.request).iter();
+    if echoed.any(|id| id.as_bytes() != routed.label.as_bytes()) {
+        let reason = "the response carries the id of another request".to_owned();
+        return Err(Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true });
+    }
     let status = head.status.as_u16();
     if head.headers.contains_key(names.not_run) || status == MISDIRECTED_REQUEST {
         let reason = format!("declined with status {status}");
@@ -231,11 +239,6 @@
         let is_upstream_at_fault = status == MISDIRECTED_REQUEST;
         return Err(Failure { outcome: Outcome::NotRun, reason, is_upstream_at_fault });
     }
-    let echoed = head.headers.get(names.request).and_then(|id| id.to_str().ok());
-    if echoed.is_some_and(|echoed| echoed != routed.label) {
-        let reason = "the response carries the id of another request".to_owned();
-        return Err(Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true });
-    }
     Ok(())
 }
 
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -35,6 +35,8 @@
 const CANCEL_RETRY_PERIOD: Duration = Duration::from_mins(1);
 /// The header by which an engine names the version of its software.
 const VERSION: &str = "x-damaskhatch-version";
+/// The header by which a call names its request; a response that has it must repeat it.
+const REQUEST_ID: &str = "x-request-id";
 /// The longest JSON response, in bytes: a list of requests.
 const MAX_JSON_BYTES: usize = 4 << 20;
 /// The longest line of a token stream, in bytes.
@@ -116,22 +118,29 @@
     Ok(exchange::send(address, CONNECT_TIMEOUT, request).await?)
 }
 
-/// Posts a JSON body and maps the status of the response to an [`Error`].
-async fn post(address: &str, path: &str, body: &impl Serialize) -> Result<Response> {
-    post_with(address, path, body, |_head| {}).await
+/// Posts a JSON body about a request and maps the status of the response to an [`Error`].
+async fn post(address: &str, path: &str, request: &str, body: &impl Serialize) -> Result<Response> {
+    post_with(address, path, request, body, |_head| {}).await
 }
 
 /// Posts as [`post`] does, and calls `on_head` with the response's head, whatever its status is.
 async fn post_with(
     address: &str,
     path: &str,
+    request: &str,
     body: &impl Serialize,
     on_head: impl Fn(&Head),
 ) -> Result<Response> {
     let body = serde_json::to_vec(body).map_err(|_error| Error::Malformed)?;
     let mut headers = HeaderMap::new();
     headers::set(&mut headers, "content-type", "application/json");
+    headers::set(&mut headers, REQUEST_ID, request);
     let response = send(address, "POST", path, headers, body.into()).await?;
+    let mut echoed = response.head.headers.get_all(REQUEST_ID).iter();
+    if echoed.any(|id| id.as_bytes() != request.as_bytes()) {
+        // That another request did not run says nothing about this one.
+        return Err(Error::Crossed);
+    }
     on_head(&response.head);
     match response.head.status {
         status if status.is_success() => Ok(response),
@@ -161,7 +170,7 @@
     on_head: impl Fn(&Head),
 ) -> Result<Prefilled> {
     let response = tokio::time::timeout(PREFILL_TIMEOUT, async {
-        let response = post_with(address, "/prefill", call, on_head).await?;
+        let response = post_with(address, "/prefill", &call.request, call, on_head).await?;
         let prefilled: Prefilled = read_json(response, memory).await?;
         if prefilled.request == call.request { Ok(prefilled) } else { Err(Error::Crossed) }
     });
@@ -186,7 +195,7 @@
 ) -> Result<Option<Prefilled>> {
     let body = RequestId { request: call.request.clone() };
     let probe = async {
-        let response = post(address, "/prefilled", &body).await?;
+        let response = post(address, "/prefilled", &call.request, &body).await?;
         if response.head.status == StatusCode::ACCEPTED {
             return Ok(None);
         }
@@ -222,7 +231,7 @@
     request: &str,
     on_head: impl Fn(&Head),
 ) -> Result<Tokens> {
-    let posted = post_with(address, path, call, on_head);
+    let posted = post_with(address, path, request, call, on_head);
     let opened = tokio::time::timeout(SILENCE_TIMEOUT * 2, posted).await;
     let response = opened.unwrap_or(Err(Error::Silent))?;
     Ok(Tokens { request: request.to_owned(), response, buffer: Vec::new() })
@@ -272,7 +281,7 @@
 /// A request unknown to the engine counts as cancelled.
 pub async fn cancel(address: &str, request: Request) -> Result<()> {
     let body = RequestId { request: request.to_string() };
-    let call = post(address, "/cancel", &body);
+    let call = post(address, "/cancel", &body.request, &body);
     match tokio::time::timeout(CALL_TIMEOUT, call).await {
         Ok(Ok(_) | Err(Error::Gone)) => Ok(()),
         Ok(Err(error)) => Err(error),
--- a/crates/damaskhatch/tests/truncated_responses.rs
+++ b/crates/damaskhatch/tests/truncated_responses.rs
@@ -125,3 +125,26 @@
     );
     assert!(plain::is_dead(&address).await);
 }
+
+/// Guards against a refusal of another request that is taken for one of this request, which the engine or
+/// the service runs (REFUSED, TWICE).
+#[actix_rt::test]
+async fn a_refusal_of_another_request_says_nothing_about_this_one() {
+    const OLD: &str = "HTTP/1.1 503 X\r\nx-request-id: other\r\nx-not-run: 1\r\n\
+                       content-length: 0\r\n\r\n";
+    const OWN: &str = "HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let prompt = Prefill {
+        request: REQUEST.to_string(),
+        team: "release".to_owned(),
+        prompt: "a".to_owned(),
+        priority: 0,
+    };
+    for (bytes, error) in [(OLD, Error::Crossed), (OWN, Error::Declined)] {
+        let address = start_server(bytes).await;
+        let prefilled = engine::prefill(&address, &prompt, &memory(), |_| {}).await;
+        assert_eq!(prefilled, Err(error));
+        let call = look();
+        let called = plain::call(&address, &call, REQUEST, &memory(), || false, |_| {}).await;
+        assert_eq!(called.map(|(response, _)| response.status), Err(error));
+    }
+}
