--- a/crates/damaskhatch/src/memory.rs
+++ b/crates/damaskhatch/src/memory.rs
@@ -18,9 +18,12 @@
 }
 
 impl Budgets {
-    /// The budgets of a process that may use `memory_mb` MiB.
+    /// The budgets of a process that may use `memory_mb` MiB, or the machine's memory if that is less.
     pub fn new(memory_mb: u64) -> Self {
-        let budget = || Budget::new(((memory_mb as usize) << 20) / PART);
+        let machine = rustix::system::sysinfo();
+        let machine_bytes = machine.totalram as usize * machine.mem_unit as usize;
+        let memory = ((memory_mb as usize) << 20).min(machine_bytes);
+        let budget = || Budget::new(memory / PART);
         Self { requests: budget(), responses: budget(), store: budget() }
     }
 }
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -253,7 +253,7 @@
         rate_slack_tokens: u64, Some("0"), within(0..=1_000_000_000),
             "the tokens that a team may get beyond its rate and burst within a few seconds";
         memory_mb: u64, Some("128"), within(32..=1_048_576),
-            "the memory that the process may use, in MiB; three fifths of it are for bodies";
+            "the memory that the process may use, in MiB, at most the machine's; three fifths are for bodies";
         drain_s: u64, Some("300"), within(1..=86_400),
             "the time for a graceful stop, in seconds, after which requests are ended";
     }
