Judge the end of a body by the probe also if its upstream was leaving

Cause: for an upstream that was leaving the host did not look whether it still listens. Its end is no strike against the request, but it is no evidence of a whole body either.

Change: the probe alone judges the end, on both faces; a strike still needs an upstream that was not leaving.

--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -191,8 +191,6 @@
         let address = snapshot.upstream(upstream).map(|u| snapshot.upstreams[u].address.clone());
         let sent_at = Instant::now();
         let address = address.unwrap_or_default();
-        let is_leaving =
-            || entry.shared.hosts().leaving_upstreams(Instant::now()).contains(&upstream);
         permit.spend();
         let name = upstream_name(&snapshot, upstream);
         let run = Run { name: &name, tag: upstream, started_ms: 0 };
@@ -200,8 +198,7 @@
             entry.hear(run, sent_at, (head.status, &head.headers));
         };
         let memory = &entry.shared.memory.responses;
-        let called =
-            plain::call(&address, &work.call, work.request, memory, is_leaving, learn).await;
+        let called = plain::call(&address, &work.call, work.request, memory, learn).await;
         let error = match called {
             Ok((response, verdict)) => {
                 spend_all(&mut charged);
@@ -369,7 +366,12 @@
     let Some(index) = snapshot.upstream(upstream) else {
         return;
     };
-    if error == Error::Broken && plain::is_dead(&snapshot.upstreams[index].address).await {
+    // The end of an upstream that was leaving says nothing about its requests.
+    let is_leaving = entry.shared.hosts().leaving_upstreams(broke_at).contains(&upstream);
+    if error == Error::Broken
+        && !is_leaving
+        && plain::is_dead(&snapshot.upstreams[index].address).await
+    {
         let crash = Crash { upstream, started_ms: 0, name: upstream_name(snapshot, upstream) };
         let strikes = Strike::all(&work.fingerprints, &crash, sent_at, broke_at);
         entry.report_strikes(strikes, broke_at).await;
--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -158,10 +158,11 @@
 /// Judges a body that ended with its connection and whose content does not show it to be cut off.
 ///
 /// A process that crashes closes its connections in order, unless it has not read all that it was
-/// sent. Costs one connection, which is opened for such bodies only. Returns at `limit` at the latest,
-/// the time limit of the request.
+/// sent. That the upstream was leaving does not show that it had finished: one that leaves in order ends
+/// its responses first and its process later. Costs one connection, which is opened for such bodies only.
+/// Returns at `limit` at the latest, the time limit of the request.
 pub async fn judge_close(entry: &Entry, broken: Broken, limit: Instant) -> Verdict {
-    let evidence = find_evidence(entry, &broken.upstream);
+    let evidence = probe_again(broken.upstream.address);
     let evidence = tokio::time::timeout_at(limit, evidence).await.unwrap_or(Evidence::Silent);
     let upstream = match evidence {
         Evidence::Accepted => Upstream::Listening,
@@ -212,13 +213,18 @@
     if listed.is_some_and(|listed| listed.is_leaving) {
         return Evidence::Leaving;
     }
-    let mut evidence = probe(upstream.address).await;
-    if evidence == Evidence::Closed {
-        evidence = probe(upstream.address).await;
-    }
+    let evidence = probe_again(upstream.address).await;
     if listed.is_none() && evidence != Evidence::Silent { Evidence::Leaving } else { evidence }
 }
 
+/// Probes an upstream, a second time if its process seems to end.
+async fn probe_again(address: SocketAddr) -> Evidence {
+    match probe(address).await {
+        Evidence::Closed => probe(address).await,
+        evidence => evidence,
+    }
+}
+
 /// Opens a connection to an upstream and closes it again.
 pub async fn probe(address: SocketAddr) -> Evidence {
     use std::io::ErrorKind::{ConnectionAborted, ConnectionRefused, ConnectionReset};
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -46,14 +46,13 @@
 ///
 /// Also returns whether the body is known to be complete. The call fails with [`Error::Broken`] if
 /// the body is a stream of events and ends inside one, or if it ends with its connection and the
-/// upstream then refuses connections, unless `is_leaving` returns true. `on_head` is called with the
+/// upstream then refuses connections, whether it was leaving or not. `on_head` is called with the
 /// response's head, whatever its status is.
 pub async fn call(
     address: &str,
     call: &Call,
     request: Request,
     memory: &Budget,
-    is_leaving: impl Fn() -> bool,
     on_head: impl Fn(&Head),
 ) -> Result<(Response, Verdict)> {
     let exchange = async {
@@ -66,7 +65,7 @@
         let is_resumed = call.headers.contains_key(LAST_EVENT);
         let content = events::content(&response.head.headers, &body, false, is_resumed);
         let mut verdict = Verdict::of_body(is_framed, content);
-        if verdict == Verdict::Unverified && !is_leaving() {
+        if verdict == Verdict::Unverified {
             verdict = verdict.with_upstream(probe(address).await);
         }
         if verdict == Verdict::Truncated {
--- a/crates/damaskhatch/tests/truncated_responses.rs
+++ b/crates/damaskhatch/tests/truncated_responses.rs
@@ -10,7 +10,6 @@
 use damaskhatch::upstream::plain::{self, Call};
 use damaskhatch_exchange::HeaderMap;
 use damaskhatch_exchange::memory::Budget;
-use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::{Request, Tag};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -50,8 +49,7 @@
 async fn call(bytes: &'static str) -> Result<Vec<u8>, Error> {
     let call = look();
     let (response, _verdict) =
-        plain::call(&start_server(bytes).await, &call, REQUEST, &memory(), || false, |_| {})
-            .await?;
+        plain::call(&start_server(bytes).await, &call, REQUEST, &memory(), |_| {}).await?;
     Ok(response.body.to_vec())
 }
 
@@ -77,29 +75,22 @@
     }
 }
 
-/// Guards against a response that a crash cut off, and that is kept for repeats as the complete one.
+/// Guards against a response that the end of a process cut off, by a crash or as it left, and that is kept
+/// for repeats as the complete one (review case 1, ORDER).
 #[actix_rt::test]
-async fn a_close_delimited_response_of_a_service_that_crashes_is_an_error() {
-    for is_leaving in [false, true] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address").to_string();
-        actix_rt::spawn(async move {
-            let (mut stream, _) = listener.accept().await.expect("a connection");
-            drop(listener);
-            let mut request = [0; 4096];
-            let _read = stream.read(&mut request).await;
-            let _written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbo").await;
-        });
-        let called =
-            plain::call(&address, &look(), REQUEST, &memory(), || is_leaving, |_| {}).await;
-        let body = called.map(|(response, verdict)| (response.body, verdict));
-        let expected = if is_leaving {
-            Ok((Bytes::from("bo"), Verdict::Unverified))
-        } else {
-            Err(Error::Broken)
-        };
-        assert_eq!(body, expected, "is_leaving={is_leaving}");
-    }
+async fn a_close_delimited_response_of_a_service_that_ends_with_it_is_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        drop(listener);
+        let mut request = [0; 4096];
+        let _read = stream.read(&mut request).await;
+        let _written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbo").await;
+    });
+    let called = plain::call(&address, &look(), REQUEST, &memory(), |_| {}).await;
+    let body = called.map(|(response, verdict)| (response.body, verdict));
+    assert_eq!(body, Err(Error::Broken));
 }
 
 #[actix_rt::test]
@@ -144,7 +135,7 @@
         let prefilled = engine::prefill(&address, &prompt, &memory(), |_| {}).await;
         assert_eq!(prefilled, Err(error));
         let call = look();
-        let called = plain::call(&address, &call, REQUEST, &memory(), || false, |_| {}).await;
+        let called = plain::call(&address, &call, REQUEST, &memory(), |_| {}).await;
         assert_eq!(called.map(|(response, _)| response.status), Err(error));
     }
 }
--- a/crates/policy/src/ending.rs
+++ b/crates/policy/src/ending.rs
@@ -23,9 +23,9 @@
 pub enum Upstream {
     /// It accepts connections, so it had no reason to break off.
     Listening,
-    /// It refuses connections, although it was not to leave: it has crashed.
+    /// It refuses connections, so its process has ended together with the response.
     Gone,
-    /// It gives no clear sign, or was to leave after its last response.
+    /// It gives no clear sign.
     Unknown,
 }
 
