Compare the id of a response with the bytes that were forwarded

The comparison used the id's text for logs, so that the response to a request whose id is not ASCII counted as that of another request since the ids go first. A test of such an id fails then, and passes now; the response to another such id is rejected.

--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -227,8 +227,9 @@
 fn check_response(entry: &Entry, routed: &Routed, response: &Response) -> Result<(), Failure> {
     let names = &entry.shared.deployment.dialect.headers;
     let head = &response.head;
+    let own = routed.headers.get(names.request);
     let mut echoed = head.headers.get_all(names.request).iter();
-    if echoed.any(|id| id.as_bytes() != routed.label.as_bytes()) {
+    if echoed.any(|id| Some(id) != own) {
         let reason = "the response carries the id of another request".to_owned();
         return Err(Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true });
     }
