Read half as much without a part of a response

Each new connection of the faulty server cost the parsing of 256 KiB of interim responses without a pause. Now it is 128 KiB, the longest head and what is read ahead with it.

--- a/crates/exchange/src/guarded.rs
+++ b/crates/exchange/src/guarded.rs
@@ -15,8 +15,8 @@
 
 /// The most bytes that are read on a connection before its reader gets a head or bytes of a body.
 ///
-/// Several times what is read ahead.
-pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 256 << 10;
+/// The longest head, and as much of a body as is read ahead with it.
+pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 128 << 10;
 
 /// The bytes read since the reader last got any part of a response; clones share it.
 #[derive(Debug, Clone)]
