--- a/crates/damaskhatch/src/relay/crash.rs
+++ b/crates/damaskhatch/src/relay/crash.rs
@@ -227,7 +227,7 @@
 
 /// Opens a connection to an upstream and closes it again.
 pub async fn probe(address: SocketAddr) -> Evidence {
-    use std::io::ErrorKind::{ConnectionAborted, ConnectionRefused, ConnectionReset};
+    use std::io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionRefused, ConnectionReset};
     let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
     match connected.map_err(|_elapsed| Evidence::Silent) {
         Ok(Ok(mut stream)) => {
@@ -237,7 +237,7 @@
         Ok(Err(error)) => match error.kind() {
             ConnectionRefused => Evidence::Refused,
             // The listener was closed between the two ends of the handshake.
-            ConnectionReset | ConnectionAborted => Evidence::Closed,
+            ConnectionReset | ConnectionAborted | BrokenPipe => Evidence::Closed,
             _ => Evidence::Silent,
         },
         Err(silent) => silent,
