--- a/crates/damaskhatch/src/control/lineage/search.rs
+++ b/crates/damaskhatch/src/control/lineage/search.rs
@@ -200,6 +200,10 @@
             self.answer(serial, None);
             return;
         }
+        if now.saturating_duration_since(search.sent_at) >= RESEND_INTERVAL {
+            search.sent_at = now;
+            send_queries(&self.shared, serial, search);
+        }
         if waited >= SILENT_AFTER
             && search.recorders == Recorders::Awaited
             && !search.open.is_empty()
@@ -207,11 +211,6 @@
             search.recorders = Recorders::Silent;
             self.read_list(ctx);
         }
-        let Some(search) = self.searches.open.get_mut(&serial) else { return };
-        if now.saturating_duration_since(search.sent_at) >= RESEND_INTERVAL {
-            search.sent_at = now;
-            send_queries(&self.shared, serial, search);
-        }
         ctx.run_later(RESEND_INTERVAL, move |actor, ctx| {
             guard(actor, ctx, |actor, ctx| actor.look_after(serial, ctx));
         });
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -280,8 +280,7 @@
     body: web::Payload,
     entry: web::Data<Entry>,
 ) -> HttpResponse {
-    let handled = Box::pin(completion::handle(Style::Text, &request, body, &entry));
-    end_at_stop(&entry, handled).await
+    end_at_stop(&entry, completion::handle(Style::Text, &request, body, &entry)).await
 }
 
 async fn chat_completions(
@@ -289,8 +288,7 @@
     body: web::Payload,
     entry: web::Data<Entry>,
 ) -> HttpResponse {
-    let handled = Box::pin(completion::handle(Style::Chat, &request, body, &entry));
-    end_at_stop(&entry, handled).await
+    end_at_stop(&entry, completion::handle(Style::Chat, &request, body, &entry)).await
 }
 
 async fn plain_service(
@@ -302,15 +300,21 @@
 }
 
 /// Responds for a handler that is not done when this host must have stopped.
-async fn end_at_stop(entry: &Entry, handled: impl Future<Output = HttpResponse>) -> HttpResponse {
-    let mut response = tokio::select! {
-        response = handled => response,
-        () = entry.shared.stop.wait() => {
-            entry.refuse(entry.shared.next_request(), refusal::at_stop())
-        }
-    };
-    close_if_draining(entry, &mut response);
-    response
+fn end_at_stop(
+    entry: &Entry,
+    handled: impl Future<Output = HttpResponse>,
+) -> impl Future<Output = HttpResponse> {
+    let handled = Box::pin(handled);
+    async move {
+        let mut response = tokio::select! {
+            response = handled => response,
+            () = entry.shared.stop.wait() => {
+                entry.refuse(entry.shared.next_request(), refusal::at_stop())
+            }
+        };
+        close_if_draining(entry, &mut response);
+        response
+    }
 }
 
 /// Has the caller open a new connection, which reaches a host that is not draining.
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -367,9 +367,8 @@
         return;
     };
     // The end of an upstream that was leaving says nothing about its requests.
-    let is_leaving = entry.shared.hosts().leaving_upstreams(broke_at).contains(&upstream);
     if error == Error::Broken
-        && !is_leaving
+        && !entry.shared.hosts().leaving_upstreams(broke_at).contains(&upstream)
         && plain::is_dead(&snapshot.upstreams[index].address).await
     {
         let crash = Crash { upstream, started_ms: 0, name: upstream_name(snapshot, upstream) };
--- a/crates/damaskhatch/src/headers.rs
+++ b/crates/damaskhatch/src/headers.rs
@@ -46,6 +46,11 @@
     kept
 }
 
+/// Whether the header `name` of a response names another request than `own`, the id that was sent.
+pub fn names_another(headers: &HeaderMap, name: &str, own: Option<&[u8]>) -> bool {
+    headers.get_all(name).iter().any(|id| Some(id.as_bytes()) != own)
+}
+
 /// Sets a header of a request to an upstream; does nothing if the name or value is invalid.
 pub fn set(headers: &mut HeaderMap, name: &str, value: &str) {
     let name = HeaderName::from_bytes(name.as_bytes());
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -251,10 +251,9 @@
 /// All of it takes `drain_s` at most.
 async fn drain(shared: &Shared, caller_server: &ServerHandle) {
     let limits = &shared.settings.limits;
-    let (started, time) = (Instant::now(), Duration::from_secs(limits.drain_s));
+    let time = Duration::from_secs(limits.drain_s);
     log::info!("event=draining in_flight={}", shared.metrics.in_flight.get());
-    shared.stop.begin(time);
-    let end = shared.stop.requests_end().unwrap_or(started) + END_TIME;
+    let end = shared.stop.begin(time) + END_TIME;
     let notice = Duration::from_millis(limits.notice_ms);
     tokio::time::sleep(stop::notice_time(notice, time)).await;
     let stopping = caller_server.stop(true);
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -5,7 +5,9 @@
 use actix::Addr;
 use bytes::Bytes;
 use damaskhatch_exchange::pool::Pool;
-use damaskhatch_exchange::{self as exchange, Connection, Framing, Head, HeaderName, Response};
+use damaskhatch_exchange::{
+    self as exchange, Connection, Framing, Head, HeaderName, HeaderValue, Response,
+};
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::ending::Verdict;
@@ -227,9 +229,8 @@
 fn check_response(entry: &Entry, routed: &Routed, response: &Response) -> Result<(), Failure> {
     let names = &entry.shared.deployment.dialect.headers;
     let head = &response.head;
-    let own = routed.headers.get(names.request);
-    let mut echoed = head.headers.get_all(names.request).iter();
-    if echoed.any(|id| Some(id) != own) {
+    let own = routed.headers.get(names.request).map(HeaderValue::as_bytes);
+    if headers::names_another(&head.headers, names.request, own) {
         let reason = "the response carries the id of another request".to_owned();
         return Err(Failure { outcome: Outcome::Unknown, reason, is_upstream_at_fault: true });
     }
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -20,9 +20,10 @@
 pub mod stream;
 pub mod version;
 
+use std::time::Duration;
+
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
-use damaskhatch_policy::prelude::Duration;
 
 use crate::entry::closed::Closed;
 use crate::entry::refusal::Refusal;
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -148,11 +148,15 @@
                 Some(Ok(bytes)) => {
                     self.last_byte_at = Instant::now();
                     match self.split_events(bytes) {
-                        Ok(complete) if complete.is_empty() => {}
                         Ok(complete) => {
-                            // If it fails, it does so again at the next bytes.
-                            let _exhausted = self.memory.resize(self.splitter.rest_bytes());
-                            return Ok(Some(complete));
+                            let kept = self.memory.resize(self.splitter.rest_bytes());
+                            // If it has failed, it does so again at the next bytes.
+                            if !complete.is_empty() {
+                                return Ok(Some(complete));
+                            }
+                            if let Err(exhausted) = kept {
+                                self.resume(exhausted.to_string()).await?;
+                            }
                         }
                         Err(gap @ events::Error::Gap { .. }) => {
                             self.end("event_out_of_order");
@@ -160,9 +164,6 @@
                         }
                         Err(too_long) => self.resume(too_long.to_string()).await?,
                     }
-                    if let Err(exhausted) = self.memory.resize(self.splitter.rest_bytes()) {
-                        self.resume(exhausted.to_string()).await?;
-                    }
                 }
                 Some(Err(error)) => self.resume(error.to_string()).await?,
                 None => match self.judge_end().await {
@@ -230,6 +231,7 @@
     async fn resume(&mut self, reason: String) -> io::Result<()> {
         self.rest_bytes = self.splitter.rest_bytes();
         self.splitter.resume();
+        self.memory = self.parts.entry.shared.memory.responses.share();
         // An engine that sends bytes which are no events would go on with it meanwhile.
         self.parts.running.response.close();
         let Parts { entry, routed, progress, running } = &self.parts;
--- a/crates/damaskhatch/src/stop.rs
+++ b/crates/damaskhatch/src/stop.rs
@@ -20,15 +20,16 @@
 }
 
 impl Stop {
-    /// Begins to stop, with this much time for it.
-    pub fn begin(&self, time: Duration) {
+    /// Begins to stop, with this much time for it; returns when requests end at the latest.
+    pub fn begin(&self, time: Duration) -> Instant {
         let requests_end = Instant::now() + time.saturating_sub(END_MARGIN);
         self.requests_end.send_replace(Some(requests_end));
+        requests_end
     }
 
     /// Whether the host has begun to stop.
     pub fn has_begun(&self) -> bool {
-        self.requests_end.borrow().is_some()
+        self.requests_end().is_some()
     }
 
     /// When requests end at the latest; `None` unless the host stops.
--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -36,7 +36,7 @@
 /// The header by which an engine names the version of its software.
 const VERSION: &str = "x-damaskhatch-version";
 /// The header by which a call names its request; a response that has it must repeat it.
-const REQUEST_ID: &str = "x-request-id";
+pub const REQUEST_ID: &str = "x-request-id";
 /// The longest JSON response, in bytes: a list of requests.
 const MAX_JSON_BYTES: usize = 4 << 20;
 /// The longest line of a token stream, in bytes.
@@ -136,8 +136,7 @@
     headers::set(&mut headers, "content-type", "application/json");
     headers::set(&mut headers, REQUEST_ID, request);
     let response = send(address, "POST", path, headers, body.into()).await?;
-    let mut echoed = response.head.headers.get_all(REQUEST_ID).iter();
-    if echoed.any(|id| id.as_bytes() != request.as_bytes()) {
+    if headers::names_another(&response.head.headers, REQUEST_ID, Some(request.as_bytes())) {
         // That another request did not run says nothing about this one.
         return Err(Error::Crossed);
     }
--- a/crates/damaskhatch/src/upstream/plain.rs
+++ b/crates/damaskhatch/src/upstream/plain.rs
@@ -10,7 +10,7 @@
 use damaskhatch_policy::ending::{Upstream, Verdict};
 use damaskhatch_policy::prelude::Request;
 
-use super::engine::{Error, Result, send};
+use super::engine::{Error, REQUEST_ID, Result, send};
 use super::events;
 use crate::entry::idempotency::Response;
 use crate::headers;
@@ -76,7 +76,7 @@
         check_response(status, &response.head.headers, request)?;
         let mut headers = headers::to_caller(&response.head.headers);
         if let Ok(value) = HeaderValue::from_str(&request.to_string()) {
-            headers.insert(HeaderName::from_static("x-request-id"), value);
+            headers.insert(HeaderName::from_static(REQUEST_ID), value);
         }
         Ok((Response { status, headers, body }, verdict))
     };
@@ -85,8 +85,7 @@
 
 /// Rejects the response to another request, and one that guarantees that nothing ran.
 fn check_response(status: StatusCode, headers: &HeaderMap, request: Request) -> Result<()> {
-    let echoed = headers.get("x-request-id").map(|value| value.as_bytes().to_vec());
-    if echoed.is_some_and(|echoed| echoed != request.to_string().as_bytes()) {
+    if headers::names_another(headers, REQUEST_ID, Some(request.to_string().as_bytes())) {
         return Err(Error::Crossed);
     }
     let declined = status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key(NOT_RUN);
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -188,20 +188,14 @@
     ///
     /// # Errors
     ///
-    /// Fails as [`Buffer::push`] does. Then, and if it breaks off, the connection is closed.
+    /// Fails with [`Error::TooLong`] if the stated length exceeds `limit`, as [`Buffer::push`] does, and
+    /// if the body breaks off.
     pub async fn read_body(&mut self, limit: usize, budget: &Budget) -> Result<Bytes> {
-        let read = async {
-            let mut body = self.begin_body(limit, budget)?;
-            while let Some(chunk) = self.next_chunk().await {
-                body.push(&chunk?)?;
-            }
-            Ok(body.freeze())
-        };
-        let body = read.await;
-        if body.is_err() {
-            self.close();
+        let mut body = self.begin_body(limit, budget)?;
+        while let Some(chunk) = self.next_chunk().await {
+            body.push(&chunk?)?;
         }
-        body
+        Ok(body.freeze())
     }
 
     /// Reads the rest of the body while bytes keep arriving, however long it takes in all.
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 use block::{FIRST_UPSTREAM_OCTET, PLATFORM_OCTET, PROXY_OCTET_OFFSET};
 pub use http::{get, post, post_bytes};
 pub use plan::Plan;
-pub use process::Process;
+pub use process::{Process, peak_memory_mb};
 use process::{launch, launch_proxied};
 
 /// The most teams for which a key is issued; a sheet can have thousands of teams.
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -54,6 +54,14 @@
     }
 }
 
+/// The most memory that a process has used, in MiB; `None` if the kernel does not name it.
+pub fn peak_memory_mb(id: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let peak: u64 = peak.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(peak / 1_024)
+}
+
 /// Starts a process and, if [`Plan::proxied`] is set, a proxy at `listed` before its address.
 pub async fn launch_proxied(
     plan: &Plan,
--- a/crates/standins/tests/endless_bytes.rs
+++ b/crates/standins/tests/endless_bytes.rs
@@ -7,7 +7,7 @@
 
 use common::{call, complete, start_proxied};
 use damaskhatch_standins::engine::ENDLESS_MARK;
-use damaskhatch_standins::fleet::{Fleet, SERVICE};
+use damaskhatch_standins::fleet::{Fleet, SERVICE, peak_memory_mb};
 use futures_util::future::join_all;
 use tokio::time::{Instant, sleep};
 
@@ -25,16 +25,6 @@
     .await
 }
 
-/// The most memory that a host's process has used, in MiB.
-fn peak_memory_mb(fleet: &Fleet, host: usize) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", fleet.hosts[host].process.id()));
-    let status = status.expect("the process exists");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|peak| peak.trim().strip_suffix("kB")?.trim().parse::<u64>().ok());
-    peak.expect("the kernel names the peak") / 1_024
-}
-
 async fn call_service(fleet: &Fleet, query: &str) -> u16 {
     let bearer = format!("Bearer {}", fleet.keys["release"]);
     let path = format!("/services/{SERVICE}/book?{query}");
@@ -58,7 +48,7 @@
         }
     };
     tokio::join!(join_all(callers), sound);
-    let peak = peak_memory_mb(fleet, 0);
+    let peak = peak_memory_mb(fleet.hosts[0].process.id()).expect("the kernel names the peak");
     assert!(peak < MEMORY_MB, "peak of {peak} MiB");
 }
 
--- a/crates/store/tests/transfers.rs
+++ b/crates/store/tests/transfers.rs
@@ -38,16 +38,15 @@
     address
 }
 
+fn client_of(address: SocketAddr) -> Client {
+    let (era, calls) = (era::Tracker::default(), Calls::unreported());
+    Client::new(address, Protocol::OWN, era, calls, Budget::new(64 << 20))
+}
+
 #[tokio::test]
 async fn a_value_is_read_as_long_as_its_bytes_arrive() {
     let address = start_store(10, true).await;
-    let client = Client::new(
-        address,
-        Protocol::OWN,
-        era::Tracker::default(),
-        Calls::unreported(),
-        Budget::new(64 << 20),
-    );
+    let client = client_of(address);
     let item = client.get("key").await.expect("the whole value");
     assert_eq!(item.value.len(), 100_000);
 }
@@ -55,13 +54,7 @@
 #[tokio::test]
 async fn a_read_fails_soon_after_its_body_stops() {
     let address = start_store(3, false).await;
-    let client = Client::new(
-        address,
-        Protocol::OWN,
-        era::Tracker::default(),
-        Calls::unreported(),
-        Budget::new(64 << 20),
-    );
+    let client = client_of(address);
     let started = Instant::now();
     let read = client.get("key").await;
     assert!(matches!(read, Err(Error::Unreachable(_))), "{read:?}");
