Log panics, ends of tasks and the last lines before an exit

Now the exit waits for the queue for half a second at most, panics are logged as event=panic with thread, place and message, and the early end of a lasting task as event=task_ended. A panic while a datagram is handled ends that datagram only. Both daemons share one start and exit.

Measured: a flush writes 100 of 100 lines to a slow output and returns within its time from a stalled one (tests in logging.rs).

--- a/crates/damaskhatch/src/bin/damaskhatchd.rs
+++ b/crates/damaskhatch/src/bin/damaskhatchd.rs
@@ -1,18 +1,14 @@
 //! The daemon that runs on every host that callers connect to.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use damaskhatch::cli::args::parse;
+use damaskhatch::daemon;
 use damaskhatch::deployment::Deployment;
-use damaskhatch::host;
-use damaskhatch::logging;
 use damaskhatch::settings::Settings;
 
-/// Exit code for faulty settings or a failed start.
-const EXIT_FAILED: u8 = 1;
-
 /// Routes callers' requests to engines and services; runs on every host that callers connect to.
 ///
 /// Exit codes: 0 stopped gracefully; 1 faulty settings or an address in use; 2 invalid
@@ -43,23 +39,19 @@
         }
         Err(code) => return code,
     };
-    let settings = match Settings::load(&path) {
-        Ok(settings) => settings,
+    if check { check_settings(&path) } else { daemon::run(&path, Deployment::OWN) }
+}
+
+/// Prints every fault of a settings file.
+fn check_settings(path: &Path) -> ExitCode {
+    match Settings::load(path) {
+        Ok(_settings) => {
+            println!("{}: no fault", path.display());
+            ExitCode::SUCCESS
+        }
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("{fault}"));
-            return ExitCode::from(EXIT_FAILED);
-        }
-    };
-    if check {
-        println!("{}: no fault", path.display());
-        return ExitCode::SUCCESS;
-    }
-    logging::init();
-    match actix_web::rt::System::new().block_on(host::run(settings, Deployment::OWN)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("event=start_failed error={error}");
-            ExitCode::from(EXIT_FAILED)
+            ExitCode::FAILURE
         }
     }
 }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -36,6 +36,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::{self, Stop};
+use crate::supervise::spawn_lasting;
 use crate::upstream::statement::Availability;
 
 /// The time between the end of the last requests and the end of a draining host, in which the responses are
@@ -107,10 +108,11 @@
         metrics: shared.metrics.clone(),
         deliver: move |arrival| recipient.deliver(arrival),
     };
-    actix_rt::spawn(datagrams.run(outgoing));
+    spawn_lasting("datagrams", &shared.stop, datagrams.run(outgoing));
     let ledger = shared.clone();
     let respond_to_query = move |query| respond(&archive, || ledger.strike_ledger(), query);
-    actix_rt::spawn(serve(listeners.peers, codec, shared.metrics.clone(), respond_to_query));
+    let peers = serve(listeners.peers, codec, shared.metrics.clone(), respond_to_query);
+    spawn_lasting("peers", &shared.stop, peers);
 
     let stop = Arc::new(Notify::new());
     let operator_server = start_operator_server(listeners.operator, &shared, &control, &stop)?;
@@ -155,7 +157,7 @@
         .listen(listener)?
         .run();
     let handle = server.handle();
-    actix_rt::spawn(server);
+    spawn_lasting("callers", &shared.stop, server);
     Ok(handle)
 }
 
@@ -170,7 +172,7 @@
     .disable_signals()
     .listen(listener)?
     .run();
-    actix_rt::spawn(server);
+    spawn_lasting("readiness", &shared.stop, server);
     Ok(())
 }
 
@@ -209,7 +211,7 @@
             .listen(listener)?
             .run();
     let handle = server.handle();
-    actix_rt::spawn(server);
+    spawn_lasting("operators", &shared.stop, server);
     Ok(handle)
 }
 
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod config_pull;
 pub mod control;
+pub mod daemon;
 pub mod decision;
 pub mod deployment;
 pub mod diff;
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::metrics::Metrics;
+use crate::supervise::contain;
 
 /// How long connecting may take, and the next byte in either direction.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(2);
@@ -115,7 +116,7 @@
                     None => return,
                 },
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, source)) => self.receive(&buffer[..length], source),
+                    Ok((length, source)) => contain(|| self.receive(&buffer[..length], source)),
                     // An earlier datagram was refused; the socket remains usable.
                     Err(error) => log::debug!("event=udp_receive error={error}"),
                 },
--- a/crates/damaskhatch/tests/logging.rs
+++ b/crates/damaskhatch/tests/logging.rs
@@ -1,4 +1,5 @@
-//! Guards against a host that blocks on logging because the reader of its output has stalled.
+//! Guards against a host that blocks on logging because the reader of its output has stalled, and
+//! against one that loses its last lines.
 
 use std::io::Write;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -32,7 +33,7 @@
     let (entered, entries) = channel();
     let (permit, permits) = channel();
     let (written, read) = channel();
-    let mut log = bounded_writer(Stalled { entered, permits, written });
+    let (mut log, _handle) = bounded_writer(Stalled { entered, permits, written });
     let started = Instant::now();
     log.write_all(b"line 0\n").expect("the line is queued");
     // The writer thread reports dropped lines before the line it took from the queue. It must
@@ -63,3 +64,45 @@
         .sum();
     assert_eq!(lines + dropped, 20_000, "every line is written or counted as dropped");
 }
+
+/// An output that takes some time for each line.
+struct Slow(Sender<String>);
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(2));
+        self.0.send(String::from_utf8_lossy(bytes).into_owned()).map_err(std::io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a process whose last lines, which say why it ends, are never written.
+#[test]
+fn a_flush_waits_until_all_lines_are_written() {
+    let (written, read) = channel();
+    let (mut log, handle) = bounded_writer(Slow(written));
+    for number in 0..100 {
+        log.write_all(format!("line {number}\n").as_bytes()).expect("the line is queued");
+    }
+    handle.flush(Duration::from_secs(10));
+    assert_eq!(read.try_iter().count(), 100);
+}
+
+/// Guards against a process that cannot end because the reader of its output has stalled.
+#[test]
+fn a_flush_ends_although_the_reader_is_stalled() {
+    let (entered, _entries) = channel();
+    let (_permit, permits) = channel();
+    let (written, _read) = channel();
+    let (mut log, handle) = bounded_writer(Stalled { entered, permits, written });
+    for number in 0..20_000 {
+        log.write_all(format!("line {number}\n").as_bytes()).expect("a line is queued or dropped");
+    }
+    let started = Instant::now();
+    handle.flush(Duration::from_millis(300));
+    assert!(started.elapsed() < Duration::from_secs(3), "took {:?}", started.elapsed());
+}
