Install the signal handlers before anything else, and keep them to the end

What callers saw: a process that got SIGHUP within some milliseconds of its start ended, with the connections that were opened to it since. SIGUSR1 and SIGUSR2 ended it at any moment, with all its requests; SIGTERM at the start ended it without exit code 0.

Cause: the handlers were installed by tasks that started after all servers, one of them by a task of its own; until then, and for signals without a handler always, the default action of the kernel ends the process. The class: a resource of the process that is set up after the process can already be reached.

Evidence: with the settings file a pipe, so that a process waits in the middle of its start, the code before ended at the SIGHUP (a_signal_at_the_start_does_not_end_the_process: "a signal ended the process"), at SIGTERM without an exit code, and at SIGUSR1 during a stop with the request cut (further_signals_during_a_stop_cut_no_request: no response).

Fix: one queue of signals, made first in the process and read until its end, also while ports are bound and while the host drains. SIGUSR1 and SIGUSR2 are logged and have no effect. What remains: before the first instruction of the program, while it is loaded, the kernel's default applies.

--- a/crates/damaskhatch/src/bin/damaskhatchd.rs
+++ b/crates/damaskhatch/src/bin/damaskhatchd.rs
@@ -11,8 +11,9 @@
 
 /// Routes callers' requests to engines and services; runs on every host that callers connect to.
 ///
-/// Exit codes: 0 stopped gracefully; 1 faulty settings or an address in use; 2 invalid
-/// arguments. SIGTERM stops gracefully. `RUST_LOG` sets the log level, such as `RUST_LOG=info`.
+/// Exit codes: 0 stopped gracefully; 1 faulty settings or an address that stays in use; 2 invalid
+/// arguments. SIGTERM and SIGINT stop gracefully, SIGHUP checks the settings again. `RUST_LOG` sets
+/// the log level, such as `RUST_LOG=info`.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 enum Options {
--- a/crates/damaskhatch/src/daemon.rs
+++ b/crates/damaskhatch/src/daemon.rs
@@ -1,6 +1,6 @@
-//! The life of a daemon's process, from its settings to its exit code.
+//! The life of a daemon's process, from its first instruction to its exit code.
 //!
-//! All daemons share it, so that settings and logs are handled alike.
+//! All daemons share it, so that signals, settings and logs are handled alike.
 
 use std::io;
 use std::path::Path;
@@ -13,6 +13,7 @@
 use crate::host;
 use crate::logging;
 use crate::settings::Settings;
+use crate::signals::Signals;
 
 /// How long the exit waits until the lines logged before it are written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -22,6 +23,13 @@
 /// Exit codes: success if it stopped gracefully, failure for faulty settings or a failed start.
 pub fn run(settings: &Path, deployment: Deployment) -> ExitCode {
     System::new().block_on(async {
+        let signals = match Signals::install() {
+            Ok(signals) => signals,
+            Err(error) => {
+                eprintln!("cannot install the signal handlers: {error}");
+                return ExitCode::FAILURE;
+            }
+        };
         let settings = match Settings::load(settings) {
             Ok(settings) => settings,
             Err(faults) => {
@@ -30,7 +38,7 @@
             }
         };
         let log = logging::init();
-        let code = end_code(host::run(settings, deployment).await);
+        let code = end_code(host::run(settings, deployment, signals).await);
         log.flush(FLUSH_TIMEOUT);
         code
     })
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -1,5 +1,6 @@
 //! Starts the servers and control actors of a host and shuts them down gracefully.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
@@ -35,6 +36,7 @@
 use crate::relay::{self, load::Loads};
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::signals::{Event, Signals};
 use crate::stop::{self, Stop};
 use crate::supervise::spawn_lasting;
 use crate::upstream::statement::Availability;
@@ -53,8 +55,18 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Runs a host until it receives a stop signal or an operator's drain, and has drained.
-pub async fn run(settings: Settings, deployment: Deployment) -> io::Result<()> {
-    let listeners = Listeners::bind(&settings.host).await?;
+pub async fn run(
+    settings: Settings,
+    deployment: Deployment,
+    mut signals: Signals,
+) -> io::Result<()> {
+    let listeners = tokio::select! {
+        listeners = Listeners::bind(&settings.host) => listeners?,
+        () = wait_for_stop(&mut signals, &settings) => {
+            log::info!("event=stopped host={} started=false", settings.host.name);
+            return Ok(());
+        }
+    };
     let incarnation = wall_ms();
     let host = Tag::of(&settings.host.name);
     let (outbox, outgoing) = Outbox::new();
@@ -115,7 +127,10 @@
     spawn_lasting("peers", &shared.stop, peers);
 
     let stop = Arc::new(Notify::new());
-    let operator_server = start_operator_server(listeners.operator, &shared, &control, &stop)?;
+    let operator =
+        Operator { shared: shared.clone(), control: control.clone(), stop: Arc::clone(&stop) };
+    let operators = serve_operators(listeners.operator, operator);
+    let operators = spawn_lasting("operators", &shared.stop, operators);
     let caller_server = start_caller_server(listeners.caller, &shared, &control)?;
     if let Some(listener) = listeners.ready {
         start_readiness_server(listener, &shared)?;
@@ -128,10 +143,15 @@
         settings.host.operator,
         settings.host.peer
     );
-    actix_rt::spawn(reload(settings.clone()));
-    wait_for_stop(&stop).await;
-    drain(&shared, &caller_server).await;
-    operator_server.stop(false).await;
+    tokio::select! {
+        () = wait_for_stop(&mut signals, &settings) => {}
+        () = stop.notified() => log::info!("event=stop_requested by=operator"),
+    }
+    tokio::select! {
+        () = drain(&shared, &caller_server) => {}
+        never = handle_further_signals(&mut signals, &settings) => match never {},
+    }
+    operators.abort();
     arbiter.stop();
     log::info!("event=stopped host={}", settings.host.name);
     Ok(())
@@ -194,55 +214,57 @@
     if is_ready { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
 }
 
-/// Starts the server on the operator port.
-fn start_operator_server(
-    listener: TcpListener,
-    shared: &Shared,
-    control: &Control,
-    stop: &Arc<Notify>,
-) -> io::Result<ServerHandle> {
-    let operator =
-        Operator { shared: shared.clone(), control: control.clone(), stop: Arc::clone(stop) };
+/// Serves operators until the host has stopped.
+async fn serve_operators(listener: TcpListener, operator: Operator) -> io::Result<()> {
     let state = web::Data::new(operator);
-    let server =
-        HttpServer::new(move || App::new().app_data(state.clone()).configure(operator::configure))
-            .workers(1)
-            .disable_signals()
-            .listen(listener)?
-            .run();
-    let handle = server.handle();
-    spawn_lasting("operators", &shared.stop, server);
-    Ok(handle)
+    HttpServer::new(move || App::new().app_data(state.clone()).configure(operator::configure))
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run()
+        .await
 }
 
-/// Waits for SIGTERM, SIGINT or a drain command from an operator.
-async fn wait_for_stop(stop: &Notify) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate =
-        signal(SignalKind::terminate()).expect("installing a signal handler succeeds");
-    let mut interrupt =
-        signal(SignalKind::interrupt()).expect("installing a signal handler succeeds");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = stop.notified() => {}
+/// Waits for a signal that stops the host, and handles all others meanwhile.
+async fn wait_for_stop(signals: &mut Signals, settings: &Settings) {
+    loop {
+        match signals.next().await {
+            Event::Stop(signal) => {
+                return log::info!("event=stop_requested by={signal}");
+            }
+            event => handle(event, settings),
+        }
+    }
+}
+
+/// Handles the signals that arrive while the host stops.
+async fn handle_further_signals(signals: &mut Signals, settings: &Settings) -> Infallible {
+    loop {
+        handle(signals.next().await, settings);
     }
 }
 
-/// Checks the settings file again on each SIGHUP.
+/// Handles a signal that does not begin to stop the host.
+fn handle(event: Event, settings: &Settings) {
+    match event {
+        Event::Stop(signal) => log::info!("event=signal_ignored signal={signal} reason=stopping"),
+        Event::Reload => check_reload(settings),
+        Event::Ignored(signal) => {
+            log::info!("event=signal_ignored signal={signal} reason=no_meaning");
+        }
+    }
+}
+
+/// Checks the settings file again.
 ///
 /// The addresses that a process binds and the secret that it trusts are fixed at its start, so
 /// changes are only checked and logged here; they take effect at the next start.
-async fn reload(running: Arc<Settings>) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut hang_up = signal(SignalKind::hangup()).expect("installing a signal handler succeeds");
-    while hang_up.recv().await.is_some() {
-        match Settings::load(&running.file) {
-            Ok(settings) if settings == *running => log::info!("event=reload result=unchanged"),
-            Ok(_changed) => log::warn!("event=reload result=changed effect=next_start"),
-            Err(faults) => {
-                faults.iter().for_each(|fault| log::error!("event=reload result=bad {fault}"));
-            }
+fn check_reload(running: &Settings) {
+    match Settings::load(&running.file) {
+        Ok(settings) if settings == *running => log::info!("event=reload result=unchanged"),
+        Ok(_changed) => log::warn!("event=reload result=changed effect=next_start"),
+        Err(faults) => {
+            faults.iter().for_each(|fault| log::error!("event=reload result=bad {fault}"));
         }
     }
 }
--- a/crates/damaskhatch/src/lib.rs
+++ b/crates/damaskhatch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod relay;
 pub mod settings;
 pub mod shared;
+pub mod signals;
 pub mod stop;
 pub mod supervise;
 pub mod upstream;
