Wait for ports in use, and serve callers without the operator port

What callers saw: a process whose port was in use exited with 1 and served nobody. A predecessor that is paused or about to end holds its ports; the operator port, 9464 in deploy/, is not among the ports that the platform keeps free, yet without it no caller was served.

Cause: each port was bound once, and every failure was fatal. The class: a condition that passes by itself, or a part of lower worth, ends the process at its start.

--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -28,7 +28,7 @@
 use crate::decision::Journal;
 use crate::deployment::Deployment;
 use crate::entry::{self, Entry, closed};
-use crate::listeners::Listeners;
+use crate::listeners::{Listeners, bind_operator};
 use crate::memory::Budgets;
 use crate::metrics::Metrics;
 use crate::operator::{self, Operator};
@@ -129,8 +129,8 @@
     let stop = Arc::new(Notify::new());
     let operator =
         Operator { shared: shared.clone(), control: control.clone(), stop: Arc::clone(&stop) };
-    let operators = serve_operators(listeners.operator, operator);
-    let operators = spawn_lasting("operators", &shared.stop, operators);
+    let operators =
+        spawn_lasting("operators", &shared.stop, serve_operators(listeners.operator, operator));
     let caller_server = start_caller_server(listeners.caller, &shared, &control)?;
     if let Some(listener) = listeners.ready {
         start_readiness_server(listener, &shared)?;
@@ -214,8 +214,13 @@
     if is_ready { HttpResponse::Ok().finish() } else { HttpResponse::ServiceUnavailable().finish() }
 }
 
-/// Serves operators until the host has stopped.
-async fn serve_operators(listener: TcpListener, operator: Operator) -> io::Result<()> {
+/// Serves operators until the host has stopped, once their port is free.
+async fn serve_operators(listener: Option<TcpListener>, operator: Operator) -> io::Result<()> {
+    let address = operator.shared.settings.host.operator;
+    let listener = match listener {
+        Some(listener) => listener,
+        None => bind_operator(address).await?,
+    };
     let state = web::Data::new(operator);
     HttpServer::new(move || App::new().app_data(state.clone()).configure(operator::configure))
         .workers(1)
