--- a/crates/damaskhatch/src/bin/damaskhatchd.rs
+++ b/crates/damaskhatch/src/bin/damaskhatchd.rs
@@ -8,6 +8,7 @@
 use damaskhatch::daemon;
 use damaskhatch::deployment::Deployment;
 use damaskhatch::settings::Settings;
+use damaskhatch::signals::Early;
 
 /// Routes callers' requests to engines and services; runs on every host that callers connect to.
 ///
@@ -32,6 +33,10 @@
 }
 
 fn main() -> ExitCode {
+    daemon::main(start)
+}
+
+fn start(early: &Early) -> ExitCode {
     let (path, check) = match parse(options()) {
         Ok(Options::Run { settings, check }) => (settings, check),
         Ok(Options::ListSettings { .. }) => {
@@ -40,7 +45,7 @@
         }
         Err(code) => return code,
     };
-    if check { check_settings(&path) } else { daemon::run(&path, Deployment::OWN) }
+    if check { check_settings(&path) } else { daemon::run(early, &path, Deployment::OWN) }
 }
 
 /// Prints every fault of a settings file.
--- a/crates/damaskhatch/src/daemon.rs
+++ b/crates/damaskhatch/src/daemon.rs
@@ -13,22 +13,29 @@
 use crate::host;
 use crate::logging;
 use crate::settings::Settings;
-use crate::signals::Signals;
+use crate::signals::{Early, Signals};
 
 /// How long the exit waits until the lines logged before it are written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Runs a daemon, whose `start` says with which settings file.
+///
+/// Nothing must come before it in the process, because signals that come before it end the process.
+pub fn main(start: impl FnOnce(&Early) -> ExitCode) -> ExitCode {
+    match Early::install() {
+        Ok(early) => start(&early),
+        Err(error) => no_handlers(&error),
+    }
+}
+
 /// Runs a host with the settings in this file until it has stopped.
 ///
 /// Exit codes: success if it stopped gracefully, failure for faulty settings or a failed start.
-pub fn run(settings: &Path, deployment: Deployment) -> ExitCode {
+pub fn run(early: &Early, settings: &Path, deployment: Deployment) -> ExitCode {
     System::new().block_on(async {
-        let signals = match Signals::install() {
+        let signals = match Signals::install(early) {
             Ok(signals) => signals,
-            Err(error) => {
-                eprintln!("cannot install the signal handlers: {error}");
-                return ExitCode::FAILURE;
-            }
+            Err(error) => return no_handlers(&error),
         };
         let settings = match Settings::load(settings) {
             Ok(settings) => settings,
@@ -53,3 +60,8 @@
         }
     }
 }
+
+fn no_handlers(error: &io::Error) -> ExitCode {
+    eprintln!("cannot install the signal handlers: {error}");
+    ExitCode::FAILURE
+}
--- a/crates/standins/src/bin/damaskhatch-demo.rs
+++ b/crates/standins/src/bin/damaskhatch-demo.rs
@@ -8,7 +8,7 @@
 
 use damaskhatch::cli::args::parse_list;
 use damaskhatch::settings::Settings;
-use damaskhatch::signals::Signals;
+use damaskhatch::signals::{Early, Signals};
 use damaskhatch_standins::args::{Command, command};
 use damaskhatch_standins::{demo, engine, load, platform, restores, service, slopes};
 
@@ -45,7 +45,7 @@
         Command::Service { listen } => service::run(listen).await,
         Command::Platform { listen } => platform::run(listen).await,
         Command::Daemon { settings } => {
-            let signals = Signals::install()?;
+            let signals = Signals::install(&Early::default())?;
             let settings = Settings::load(&settings).map_err(|faults| {
                 let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
                 io::Error::other(lines.join("\n"))
