Take a switch of protocols for a broken exchange, not for a response

What callers saw: an upstream that answered with status 101 and closed. The caller got the 101 although it had asked for no other protocol. To a client it is an interim response, whose final one never comes.

Cause: the HTTP library skips interim responses apart from 101, which it hands over as if it were final, with an empty body of known length.

Why the fix works: every response of both faces, of the store and of peers is built by exchange::Response, which refuses a status below 200. The outcome is unknown, so that only a request that may be repeated goes on.

A case of the own interface is added to truncated_responses.rs; it was run with the fix only.

--- a/crates/damaskhatch/tests/truncated_responses.rs
+++ b/crates/damaskhatch/tests/truncated_responses.rs
@@ -69,6 +69,8 @@
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: a\n\ndat",
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 4\r\n\r\ndata",
         "HTTP/1.1 200 OK\r\nconte",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
         "",
     ] {
         assert_eq!(call(truncated).await, Err(Error::Broken), "{truncated:?}");
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -142,12 +142,19 @@
 
 impl Response {
     /// Splits a response whose connection `driver` drives.
-    fn new(response: http::Response<Incoming>, driver: Driver, guard: Guard) -> Self {
+    ///
+    /// Fails for a switch of protocols, which ends HTTP on the connection: no request asks for one, and
+    /// it is not the final response.
+    fn new(response: http::Response<Incoming>, driver: Driver, guard: Guard) -> Result<Self> {
         guard.record_progress();
         let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            return Err(Error::Broken(format!("no final response after status {}", head.status)));
+        }
         let framing = Framing::new(&head, body.size_hint().exact());
         let connection = Connection::New;
-        Self { head, framing, connection, body, guard, driver: Some(driver), return_to: None }
+        let driver = Some(driver);
+        Ok(Self { head, framing, connection, body, guard, driver, return_to: None })
     }
 
     /// Keeps the connection of a complete response, if it may be kept.
@@ -247,7 +254,7 @@
     let Connected { mut sender, driver, guard } = connect(address, connect_timeout).await?;
     let response = sender.send_request(request.map(Full::new)).await;
     let response = response.map_err(|error| Error::Broken(describe(&error)))?;
-    Ok(Response::new(response, driver, guard))
+    Response::new(response, driver, guard)
 }
 
 /// The text of an error of the HTTP library, with that of its cause.
--- a/crates/exchange/src/pool.rs
+++ b/crates/exchange/src/pool.rs
@@ -150,8 +150,8 @@
             connected.guard.record_progress();
             let mut unsent = match connected.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let mut response =
-                        self.build(address, response, connected, own_id.as_ref(), id);
+                    let built = self.build(address, response, connected, own_id.as_ref(), id);
+                    let mut response = built.inspect_err(|_broken| self.forget(address))?;
                     response.connection = Connection::Kept;
                     if !self.is_answer(&response.head, id, own_id.as_ref()) {
                         self.forget(address);
@@ -172,7 +172,7 @@
         let mut connected = connected.inspect_err(|_failed| self.forget(address))?;
         let response = connected.sender.send_request(request).await;
         let response = response.map_err(|error| Error::Broken(describe(&error)))?;
-        Ok(self.build(address, response, connected, own_id.as_ref(), id))
+        self.build(address, response, connected, own_id.as_ref(), id)
     }
 
     /// Whether a response is known to be that of the request `own_id`, which it must name once.
@@ -189,15 +189,15 @@
         connected: Connected,
         own_id: Option<&HeaderValue>,
         id: &HeaderName,
-    ) -> Response {
+    ) -> Result<Response> {
         let Connected { sender, driver, guard } = connected;
-        let mut response = Response::new(response, driver, guard.clone());
+        let mut response = Response::new(response, driver, guard.clone())?;
         let idle = idle_time(&response.head);
         let is_delimited = response.framing != Framing::Close;
         if is_delimited && self.is_answer(&response.head, id, own_id) && !idle.is_zero() {
             response.return_to = Some(Return { pool: self.clone(), address, sender, guard, idle });
         }
-        response
+        Ok(response)
     }
 }
 
