Start with settings that are empty or a fraction

Callers got no service: damaskhatch-edge exited with code 1 at its start where the platform renders bounds.grace_s or bounds.quota_slack as nothing or as a fraction. The pages of the platform allow both.

Cause: a key without a value was an error although the setting has a default, and a number had to be a whole one.

Evidence, the new tests on the code before: [limits] drain_s: "" is not a whole number [limits] drain_s: "8.5" is not a whole number not ready within 10s test result: FAILED. 0 passed; 2 failed

Fix: an empty value stands for the default, and a decimal fraction is rounded down. Values without a default are still required.

Measured after it: 2 passed.

--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -46,8 +46,12 @@
 }
 
 impl Value for u64 {
+    /// Parses a whole number, or a decimal fraction, which is rounded down.
     fn parse(text: &str) -> Result<Self, String> {
-        text.parse().map_err(|_error| format!("{text:?} is not a whole number"))
+        let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+        let is_decimal = !fraction.is_empty() && fraction.bytes().all(|byte| byte.is_ascii_digit());
+        let number = if is_decimal { whole.parse().ok() } else { None };
+        number.ok_or_else(|| format!("{text:?} is not a whole number"))
     }
 }
 
@@ -97,7 +101,10 @@
         default: Option<&str>,
         check: impl Fn(&T) -> Result<(), String>,
     ) -> Option<T> {
-        let Some(text) = self.properties.and_then(|section| section.get(key)).or(default) else {
+        // A template leaves a value empty if it is given none.
+        let set = self.properties.and_then(|section| section.get(key));
+        let set = set.filter(|text| default.is_none() || !text.trim().is_empty());
+        let Some(text) = set.or(default) else {
             self.add_fault(key, "is missing".to_owned());
             return None;
         };
