Close callers' connections in one direction first, and discard what they still send

Callers that were still writing when a host refused their request, or that sent bytes behind their last request, got a reset or a broken pipe in place of the response, and could not know whether the request had run.

Cause: the HTTP server reads on for one second after such a refusal, and not at all after a malformed request, too long a head or a response with `Connection: close`; then it closes. The kernel answers a close with unread bytes, and each byte that comes after it, with a reset, which discards the response.

Fix: the duplicate of each connection's descriptor, which exists already, keeps the connection open after the server has ended it. It is handed to a task that sends the end of the connection, discards what still comes until the caller closes, and closes it then, or after 20 s, 5 s of silence or 64 MiB. A response that must end in a reset still does. A stop waits for these connections within its time.

--- a/crates/damaskhatch/src/entry/closed.rs
+++ b/crates/damaskhatch/src/entry/closed.rs
@@ -8,6 +8,7 @@
 use std::any::Any;
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use actix_web::dev::Extensions;
@@ -16,18 +17,44 @@
 use tokio::io::Interest;
 use tokio::io::unix::AsyncFd;
 
-/// A duplicate of a connection's descriptor.
+use super::closing::Closing;
+
+/// A duplicate of a connection's descriptor, which keeps the connection open after the HTTP server has
+/// ended it.
+#[derive(Debug)]
+struct Duplicate {
+    /// `None` once the connection has been handed over to be closed.
+    descriptor: Option<OwnedFd>,
+    is_reset: AtomicBool,
+    closing: Closing,
+}
+
+impl Drop for Duplicate {
+    fn drop(&mut self) {
+        if let Some(descriptor) = self.descriptor.take()
+            && !*self.is_reset.get_mut()
+        {
+            self.closing.close(descriptor);
+        }
+    }
+}
+
+/// The duplicate, shared by the connection and its requests.
 #[derive(Debug, Clone)]
-struct Descriptor(Arc<OwnedFd>);
+struct Descriptor(Arc<Duplicate>);
 
 /// Stores a duplicate of each new connection's descriptor as connection data.
-pub fn on_connect(connection: &dyn Any, data: &mut Extensions) {
+pub fn on_connect(connection: &dyn Any, data: &mut Extensions, closing: &Closing) {
     let Some(stream) = connection.downcast_ref::<TcpStream>() else {
         return;
     };
     match stream.as_fd().try_clone_to_owned() {
         Ok(descriptor) => {
-            data.insert(Descriptor(Arc::new(descriptor)));
+            data.insert(Descriptor(Arc::new(Duplicate {
+                descriptor: Some(descriptor),
+                is_reset: AtomicBool::new(false),
+                closing: closing.clone(),
+            })));
         }
         Err(error) => log::warn!("event=descriptor_not_duplicated error={error}"),
     }
@@ -45,8 +72,11 @@
 
     /// Makes the connection's close a reset, which the caller cannot take for the end of a body.
     pub fn reset_on_close(&self) {
-        let set = SockRef::from(&self.0.0).set_linger(Some(Duration::ZERO));
-        if let Err(error) = set {
+        let Duplicate { descriptor: Some(descriptor), is_reset, .. } = &*self.0.0 else {
+            return;
+        };
+        is_reset.store(true, Ordering::Relaxed);
+        if let Err(error) = SockRef::from(descriptor).set_linger(Some(Duration::ZERO)) {
             log::warn!("event=reset_not_set error={error}");
         }
     }
@@ -68,7 +98,7 @@
     pub fn watch(request: &HttpRequest) -> Self {
         let stored = request.conn_data::<Descriptor>();
         // A descriptor can be registered only once, so each watch registers a duplicate.
-        let duplicate = stored.and_then(|stored| stored.0.try_clone().ok());
+        let duplicate = stored.and_then(|stored| stored.0.descriptor.as_ref()?.try_clone().ok());
         let descriptor = duplicate
             .and_then(|duplicate| AsyncFd::with_interest(duplicate, Interest::READABLE).ok());
         Self { descriptor }
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod charge;
 pub mod closed;
+pub mod closing;
 pub mod completion;
 pub mod generate;
 pub mod hold;
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -27,6 +27,7 @@
 use crate::control::{Control, Publishers};
 use crate::decision::Journal;
 use crate::deployment::Deployment;
+use crate::entry::closing::Closing;
 use crate::entry::{self, Entry, closed};
 use crate::listeners::{Listeners, bind_operator};
 use crate::memory::Budgets;
@@ -70,6 +71,7 @@
     let incarnation = wall_ms();
     let host = Tag::of(&settings.host.name);
     let (outbox, outgoing) = Outbox::new();
+    let (closing, closing_queue) = Closing::new();
     let (config, config_seen) = watch::channel(Arc::new(Snapshot::default()));
     let domain = Tag::of(&settings.host.domain);
     let (view, view_seen) = watch::channel(Arc::new(initial_view(&settings, incarnation)));
@@ -83,6 +85,7 @@
         incarnation,
         started: tokio::time::Instant::now(),
         outbox,
+        closing,
         metrics: Metrics::new(),
         journal: Journal::default(),
         config: config_seen,
@@ -120,6 +123,7 @@
         metrics: shared.metrics.clone(),
         deliver: move |arrival| recipient.deliver(arrival),
     };
+    spawn_lasting("closing", &shared.stop, closing_queue.run());
     spawn_lasting("datagrams", &shared.stop, datagrams.run(outgoing));
     let ledger = shared.clone();
     let respond_to_query = move |query| respond(&archive, || ledger.strike_ledger(), query);
@@ -166,9 +170,10 @@
     let settings = &shared.settings;
     let state = web::Data::new(Entry::new(shared.clone(), control.clone()));
     let is_routed = shared.deployment.catalogue.is_some();
+    let closing = shared.closing.clone();
     let configure = if is_routed { relay::configure } else { entry::configure };
     let server = HttpServer::new(move || App::new().app_data(state.clone()).configure(configure))
-        .on_connect(closed::on_connect)
+        .on_connect(move |connection, data| closed::on_connect(connection, data, &closing))
         .workers(settings.host.workers as usize)
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(REQUEST_TIMEOUT)
@@ -311,4 +316,5 @@
     while shared.metrics.cancels_open.get() > 0 && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    shared.closing.finish(end).await;
 }
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::control::membership::{READER_ROLE, READERS_PER_DOMAIN};
 use crate::decision::Journal;
 use crate::deployment::Deployment;
+use crate::entry::closing::Closing;
 use crate::memory::Budgets;
 use crate::metrics::Metrics;
 use crate::peers::Outbox;
@@ -45,6 +46,8 @@
     pub started: Instant,
     /// Sends datagrams to other hosts.
     pub outbox: Outbox,
+    /// Closes callers' connections.
+    pub closing: Closing,
     /// The metrics, exported on the operator port.
     pub metrics: Metrics,
     /// The most recent routing and placement decisions.
