Close the connection of a chunked request that was refused before its body was read

A caller that was refused and went on with a chunked body held its connection for as long as it wrote.

Cause: the HTTP server reads the rest of a chunked body that no handler holds any more, to keep the connection, without a limit.

Evidence: `closing` in platform failed before: after 401, a body of one byte a chunk was still taken after 40 s ("true false true": cut off with a length, not with chunks, cut off behind a malformed head).

Fix: the body is held until its response has been sent, on all paths of both faces, which has the server close the connection; the limits of the closed connection then apply.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod plain;
 pub mod refusal;
 pub mod stream;
+pub mod unread;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -9,6 +9,7 @@
 
 use actix::Arbiter;
 use actix_web::dev::ServerHandle;
+use actix_web::middleware::from_fn;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
@@ -28,7 +29,7 @@
 use crate::decision::Journal;
 use crate::deployment::Deployment;
 use crate::entry::closing::Closing;
-use crate::entry::{self, Entry, closed};
+use crate::entry::{self, Entry, closed, unread};
 use crate::listeners::{Listeners, bind_operator};
 use crate::memory::Budgets;
 use crate::metrics::Metrics;
@@ -172,15 +173,20 @@
     let is_routed = shared.deployment.catalogue.is_some();
     let closing = shared.closing.clone();
     let configure = if is_routed { relay::configure } else { entry::configure };
-    let server = HttpServer::new(move || App::new().app_data(state.clone()).configure(configure))
-        .on_connect(move |connection, data| closed::on_connect(connection, data, &closing))
-        .workers(settings.host.workers as usize)
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(REQUEST_TIMEOUT)
-        .shutdown_timeout(settings.limits.drain_s)
-        .disable_signals()
-        .listen(listener)?
-        .run();
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .wrap(from_fn(unread::close_after_response))
+            .configure(configure)
+    })
+    .on_connect(move |connection, data| closed::on_connect(connection, data, &closing))
+    .workers(settings.host.workers as usize)
+    .keep_alive(KEEP_ALIVE)
+    .client_request_timeout(REQUEST_TIMEOUT)
+    .shutdown_timeout(settings.limits.drain_s)
+    .disable_signals()
+    .listen(listener)?
+    .run();
     let handle = server.handle();
     spawn_lasting("callers", &shared.stop, server);
     Ok(handle)
--- a/crates/standins/tests/closing.rs
+++ b/crates/standins/tests/closing.rs
@@ -10,12 +10,14 @@
 use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// A body beyond every limit.
 const LONG: usize = 20_000_000;
 /// The number of pieces in which a slow caller writes its request.
 const PIECES: usize = 10;
+/// For how long a host may hold a connection on which a caller writes without end.
+const ENDLESS_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// Writes a whole request, with pauses, then reads to the end of the connection.
 async fn write_then_read(to: SocketAddr, head: &str, pause: Duration) -> Result<String, String> {
@@ -72,3 +74,39 @@
     }
     assert!(faults.is_empty(), "{} faults: {faults:#?}", faults.len());
 }
+
+/// The paths on which a caller that writes for as long as it may still holds its connection.
+async fn held_paths(paths: &[&str]) -> Vec<String> {
+    let fleet = Fleet::start(Plan::small(program())).await.expect("the fleet starts");
+    let host = fleet.caller_addresses()[0];
+    let callers = paths.iter().map(async |path| {
+        let mut stream = TcpStream::connect(host).await.expect("a connection");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer wrong\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("the head is written");
+        let until = Instant::now() + ENDLESS_TIMEOUT;
+        while Instant::now() < until {
+            if stream.write_all(b"1\r\nx\r\n").await.is_err() {
+                return None;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        Some((*path).to_owned())
+    });
+    join_all(callers).await.into_iter().flatten().collect()
+}
+
+/// Guards against connections that are held for as long as their callers write after a refusal.
+#[actix_web::test]
+async fn a_caller_that_writes_on_after_a_refusal_is_cut_off() {
+    let service = format!("/services/{SERVICE}/book");
+    assert_eq!(held_paths(&[&service, "/unknown"]).await, [""; 0]);
+}
+
+/// Guards against connections that are held for as long as their callers write a body slowly.
+#[actix_web::test]
+async fn a_caller_whose_body_never_ends_is_cut_off() {
+    assert_eq!(held_paths(&["/v1/completions", "/v1/chat/completions"]).await, [""; 0]);
+}
