--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod charge;
 pub mod closed;
+pub mod closing;
 pub mod completion;
 pub mod generate;
 pub mod hold;
@@ -14,6 +15,7 @@
 pub mod plain;
 pub mod refusal;
 pub mod stream;
+pub mod unread;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
