Go on with a broken stream only by a response of the same kind

What callers saw: a stream broke off after two events, and the next engine answered 201, 202, 204, 205 or 206. The caller's stream ended as complete, with the events of that answer in it.

Cause: relay::stream::can_continue took every success for the rest of the stream, and a response without any type for a stream of events.

Why this works: the caller has the head of the first response. Another one goes on only if both have status 200 and the same kind of body, and if it names the type where the first does. One that does not is a failed attempt, logged with its status; other engines are asked while attempts are left. A first response with another status is forwarded and not resumed.

Measured: the seven tests of the file pass.

--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod attempt;
 pub mod candidates;
+pub mod continuation;
 pub mod crash;
 pub mod dialect;
 pub mod forward;
--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -7,7 +7,7 @@
 
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use damaskhatch_exchange::memory::Share;
 use damaskhatch_exchange::{self as exchange, Framing, Result};
 use damaskhatch_policy::attempt::Outcome;
@@ -19,6 +19,7 @@
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, Failure, record_failure, try_acquire_retry};
+use super::continuation::{Stalled, can_follow, is_resumable};
 use super::crash::{Broken, examine, examine_if_silent, judge_close};
 use super::pair::{Progress, Running, start};
 use super::request::Routed;
@@ -70,39 +71,6 @@
     Other(Box<std::result::Result<Running, Refusal>>),
 }
 
-/// What a stalled engine has sent while another one is sought.
-struct Stalled {
-    /// The splitter as it would be with these bytes.
-    ahead: Splitter,
-    received: BytesMut,
-    /// Set once the bytes are no events, so that nothing more is read.
-    failure: Option<events::Error>,
-}
-
-impl Stalled {
-    /// Adds bytes; returns whether they complete an event or show that the stream is out of order.
-    ///
-    /// Bytes that complete no event must not end the search for another engine: more may follow.
-    fn push(&mut self, bytes: &[u8]) -> bool {
-        let before = self.ahead.progress();
-        match self.ahead.push(bytes) {
-            Ok(_complete) => {
-                self.received.extend_from_slice(bytes);
-                self.ahead.progress() != before
-            }
-            Err(events::Error::Gap { .. }) => {
-                self.received.extend_from_slice(bytes);
-                true
-            }
-            Err(too_long) => {
-                self.received = BytesMut::new();
-                self.failure = Some(too_long);
-                false
-            }
-        }
-    }
-}
-
 /// Returns the body of the caller's response, made of complete events only.
 ///
 /// An error item ends it as one that broke off.
@@ -158,11 +126,13 @@
                                 self.resume(exhausted.to_string()).await?;
                             }
                         }
-                        Err(gap @ events::Error::Gap { .. }) => {
+                        Err(too_long @ events::Error::TooLong(_)) => {
+                            self.resume(too_long.to_string()).await?;
+                        }
+                        Err(out_of_order) => {
                             self.end("event_out_of_order");
-                            return Err(io::Error::other(gap));
+                            return Err(io::Error::other(out_of_order));
                         }
-                        Err(too_long) => self.resume(too_long.to_string()).await?,
                     }
                 }
                 Some(Err(error)) => self.resume(error.to_string()).await?,
@@ -241,18 +211,18 @@
         let (sent_at, history) = (running.sent_at, progress.history);
         let attempt = Attempt { upstream, sent_at, phase: "stream", history };
         record_failure(entry, routed, attempt, &failure).await;
-        if !self.is_resumable() || !self.try_acquire_retry() {
-            self.end("upstream_broke_off");
-            return Err(error);
-        }
-        self.exclude_current();
-        let Parts { entry, routed, progress, .. } = &mut self.parts;
-        let started = start(entry, routed, progress).await;
-        if !self.continue_with(started) {
-            self.end("not_resumed");
-            return Err(error);
+        let mut how = "upstream_broke_off";
+        while self.is_resumable() && self.try_acquire_retry() {
+            how = "not_resumed";
+            self.exclude_current();
+            let Parts { entry, routed, progress, .. } = &mut self.parts;
+            let Ok(next) = start(entry, routed, progress).await else { break };
+            if self.continue_with(next).await {
+                return Ok(());
+            }
         }
-        Ok(())
+        self.end(how);
+        Err(error)
     }
 
     /// Resumes a stream whose engine has stalled at another engine, or goes on waiting for this one if
@@ -277,8 +247,7 @@
         }
         self.exclude_current();
         let Parts { entry, routed, progress, running } = &mut self.parts;
-        let mut stalled =
-            Stalled { ahead: self.splitter.clone(), received: BytesMut::new(), failure: None };
+        let mut stalled = Stalled::new(&self.splitter);
         let found = {
             let mut started = std::pin::pin!(start(entry, routed, progress));
             loop {
@@ -302,7 +271,9 @@
                 return Some(read);
             }
             Found::Other(started) => {
-                if self.continue_with(*started) {
+                if let Ok(next) = *started
+                    && self.continue_with(next).await
+                {
                     self.splitter.resume();
                     return None;
                 }
@@ -320,7 +291,9 @@
         // Events without ids leave no way to name the one after which to resume.
         let is_untouched = !self.splitter.has_event() && !self.has_opaque_bytes;
         let has_resume_point = is_untouched || self.splitter.last_id().is_some();
-        has_resume_point && self.parts.routed.route.repeat == Repeat::ResumableStream
+        self.parts.routed.route.repeat == Repeat::ResumableStream
+            && is_resumable(&self.parts.running.response.head)
+            && has_resume_point
     }
 
     fn try_acquire_retry(&self) -> bool {
@@ -339,17 +312,24 @@
     }
 
     /// Goes on with the response of another engine; returns whether that is possible.
-    fn continue_with(&mut self, started: std::result::Result<Running, Refusal>) -> bool {
-        match started {
-            Ok(next) if can_continue(&next, self.has_events) => {
-                self.parts.running = next;
-                self.rest_bytes = 0;
-                self.last_byte_at = Instant::now();
-                self.silence.restart(Instant::now());
-                true
-            }
-            _ => false,
+    async fn continue_with(&mut self, next: Running) -> bool {
+        let Parts { entry, routed, progress, running } = &mut self.parts;
+        let (first, head) = (&running.response.head, &next.response.head);
+        if !can_follow(first, head) {
+            let reason =
+                format!("response with status {} does not go on with the stream", head.status);
+            let failure = Failure { outcome: Outcome::Ran, reason, is_upstream_at_fault: false };
+            let (upstream, history) = (&next.reservation.upstream, progress.history);
+            let attempt = Attempt { upstream, sent_at: next.sent_at, phase: "decode", history };
+            record_failure(entry, routed, attempt, &failure).await;
+            progress.excluded.insert(upstream.tag);
+            return false;
         }
+        *running = next;
+        self.rest_bytes = 0;
+        self.last_byte_at = Instant::now();
+        self.silence.restart(Instant::now());
+        true
     }
 
     /// Examines in the background whether the engine of a stream at its time limit has crashed.
@@ -392,12 +372,6 @@
     }
 }
 
-/// Whether a response can follow in a body that consists of events, or does not.
-fn can_continue(next: &Running, has_events: bool) -> bool {
-    let head = &next.response.head;
-    head.status.is_success() && is_event_stream(&head.headers, true) == has_events
-}
-
 impl Drop for State {
     fn drop(&mut self) {
         if !self.is_ended {
