Take an event without id for no continuation of a stream

What callers saw: a stream with ids broke off, the next engine reported its failure as an event, such as `event: error`, with status 200. The text of the error was in the caller's stream, which ended as complete.

Cause: the splitter compared the id of the first event after a resumption only if that event had one.

Why this works: once an event has had an id, the first event of another engine must have the next one. None of another event is forwarded.

--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -34,6 +34,11 @@
         /// Id of the first event afterwards.
         found: u64,
     },
+    /// resumed stream is out of order: got an event without id after event {last}
+    Unnamed {
+        /// Id of the last event before the stream was resumed.
+        last: u64,
+    },
     /// event exceeds {0} bytes
     TooLong(usize),
 }
@@ -140,8 +145,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the first event after [`Self::resume`] has an id that is not the next, or if more bytes
-    /// than an event may have do not complete one.
+    /// Fails if the first event after [`Self::resume`] does not have the id that is the next, or if more
+    /// bytes than an event may have do not complete one.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
         self.lines.pending.extend_from_slice(bytes);
         // The length of the prefix that does not end inside an event.
@@ -200,12 +205,14 @@
             return Ok(());
         }
         let id = self.open_id.take();
-        if std::mem::take(&mut self.is_resumed)
-            && let (Some(last), Some(found)) = (self.last_id, id)
-            && found != last + 1
-        {
-            return Err(Error::Gap { last, found });
+        if let Some(last) = self.last_id.filter(|_| self.is_resumed) {
+            // An engine may report a failure as an event, which has no id.
+            let found = id.ok_or(Error::Unnamed { last })?;
+            if found != last + 1 {
+                return Err(Error::Gap { last, found });
+            }
         }
+        self.is_resumed = false;
         self.has_event = true;
         self.last_id = id.or(self.last_id);
         Ok(())
--- a/crates/damaskhatch/tests/events.rs
+++ b/crates/damaskhatch/tests/events.rs
@@ -72,6 +72,25 @@
     assert_eq!(splitter.push(b"id: 8\n\n"), Err(Error::Gap { last: 8, found: 8 }));
 }
 
+/// Guards against an error that an engine sends as an event and that is joined to a resumed stream.
+#[test]
+fn the_first_event_after_a_resumption_has_the_next_id() {
+    for (bytes, expected) in [
+        ("id: 3\n\n", Ok(Some(3))),
+        ("id: 2\n\n", Err(Error::Gap { last: 2, found: 2 })),
+        ("id: 4\n\n", Err(Error::Gap { last: 2, found: 4 })),
+        ("data: a\n\n", Err(Error::Unnamed { last: 2 })),
+        ("event: error\ndata: a\n\nid: 3\n\n", Err(Error::Unnamed { last: 2 })),
+        (": c\nid: 3\n\ndata: a\n\n", Ok(Some(3))),
+    ] {
+        let mut splitter = Splitter::default();
+        splitter.push(b"id: 2\n\n").expect("the events are in order");
+        splitter.resume();
+        let pushed = splitter.push(bytes.as_bytes()).map(|_| splitter.last_id());
+        assert_eq!(pushed, expected, "{bytes:?}");
+    }
+}
+
 /// Guards against an event without end that takes up all memory (review case 2).
 #[test]
 fn bytes_that_complete_no_event_are_kept_up_to_a_limit() {
