Do not end an unfinished stream by a response without events

What callers saw: a stream broke off, the next engine answered 200 without any event or with a comment only, and the stream ended as complete, also where the first engine had sent part of the next event, had declared a length that it did not reach, or where nothing marked the end of the empty response.

Cause: Splitter::content took a body without events for one that ends after an event, because an earlier engine had sent one.

Why this works: the splitter keeps in mind, until the next event, that more was to come: bytes after the last event, or a declared length not reached. A continuation without events is then cut off, and so is one whose end is not marked. A marked one after a break between two events stays complete: the first engine may have ended just there, and a host cannot know.

--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -200,7 +200,7 @@
     /// Resumes at another engine after the last complete event, or fails for `reason`.
     async fn resume(&mut self, reason: String) -> io::Result<()> {
         self.rest_bytes = self.splitter.rest_bytes();
-        self.splitter.resume();
+        self.discard_rest(self.parts.running.response.framing);
         self.memory = self.parts.entry.shared.memory.responses.share();
         // An engine that sends bytes which are no events would go on with it meanwhile.
         self.parts.running.response.close();
@@ -262,7 +262,7 @@
                 }
             }
         };
-        let Stalled { received, failure, .. } = stalled;
+        let Stalled { ahead, received, failure } = stalled;
         match found {
             Found::Event => return Some(Some(Ok(received.freeze()))),
             Found::End(read) => {
@@ -271,11 +271,13 @@
                 return Some(read);
             }
             Found::Other(started) => {
-                if let Ok(next) = *started
-                    && self.continue_with(next).await
-                {
-                    self.splitter.resume();
-                    return None;
+                if let Ok(next) = *started {
+                    let framing = self.parts.running.response.framing;
+                    if self.continue_with(next).await {
+                        self.splitter = ahead;
+                        self.discard_rest(framing);
+                        return None;
+                    }
                 }
                 if let Some(too_long) = failure {
                     return Some(Some(Err(exchange::Error::Broken(too_long.to_string()))));
@@ -311,6 +313,15 @@
         }
     }
 
+    /// Discards the bytes after the last complete event of a response that has not ended.
+    fn discard_rest(&mut self, framing: Framing) {
+        self.splitter.resume();
+        if framing == Framing::Length {
+            // It announced more bytes than it has sent.
+            self.splitter.expect_more();
+        }
+    }
+
     /// Goes on with the response of another engine; returns whether that is possible.
     async fn continue_with(&mut self, next: Running) -> bool {
         let Parts { entry, routed, progress, running } = &mut self.parts;
--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -117,8 +117,18 @@
     open_id: Option<u64>,
     has_event: bool,
     last_id: Option<u64>,
-    /// Whether the next event is the first from another engine.
-    is_resumed: bool,
+    next: Next,
+}
+
+/// What is known about the next event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// It comes from the engine of the last one, or is the first of the stream.
+    Same,
+    /// It is the first from another engine.
+    Resumed,
+    /// The same, and an earlier engine had more to send after the last complete event.
+    Owed,
 }
 
 impl Default for Splitter {
@@ -137,7 +147,7 @@
             open_id: None,
             has_event: false,
             last_id: None,
-            is_resumed: false,
+            next: Next::Same,
         }
     }
 
@@ -179,7 +189,7 @@
         if self.lines.ended > 1 || !self.lines.pending[line.clone()].starts_with(BYTE_ORDER_MARK) {
             return line;
         }
-        if !self.is_resumed {
+        if self.next == Next::Same {
             return line.start + length..line.end;
         }
         self.lines.split_to(length);
@@ -205,14 +215,14 @@
             return Ok(());
         }
         let id = self.open_id.take();
-        if let Some(last) = self.last_id.filter(|_| self.is_resumed) {
+        if let Some(last) = self.last_id.filter(|_| self.next != Next::Same) {
             // An engine may report a failure as an event, which has no id.
             let found = id.ok_or(Error::Unnamed { last })?;
             if found != last + 1 {
                 return Err(Error::Gap { last, found });
             }
         }
-        self.is_resumed = false;
+        self.next = Next::Same;
         self.has_event = true;
         self.last_id = id.or(self.last_id);
         Ok(())
@@ -222,10 +232,17 @@
     /// of the last complete event.
     pub fn resume(&mut self) -> Option<u64> {
         let Self { has_event, last_id, max_bytes, .. } = *self;
-        *self = Self { has_event, last_id, is_resumed: true, ..Self::new(max_bytes) };
+        let is_owed = self.next == Next::Owed || self.rest_bytes() > 0;
+        let next = if is_owed { Next::Owed } else { Next::Resumed };
+        *self = Self { has_event, last_id, next, ..Self::new(max_bytes) };
         last_id
     }
 
+    /// Notes that a stream that has been resumed does not end after the last complete event.
+    pub const fn expect_more(&mut self) {
+        self.next = Next::Owed;
+    }
+
     /// The id of the last complete event; `None` if no event had one.
     pub const fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -248,11 +265,13 @@
 
     /// Where a body that ends here ends.
     ///
-    /// `is_resumed` is whether the body was requested from a later event than the first.
+    /// `is_resumed` is whether the body was requested from a later event than the first. After
+    /// [`Self::resume`], a body without an event has none of the rest, which is right only if there is
+    /// no rest.
     pub fn content(&self, is_resumed: bool) -> Content {
-        if self.is_cut() {
+        if self.is_cut() || self.next == Next::Owed {
             Content::InsideEvent
-        } else if self.has_event || is_resumed {
+        } else if (self.has_event || is_resumed) && self.next == Next::Same {
             Content::AfterEvent
         } else {
             Content::BeforeEvents
--- a/crates/damaskhatch/tests/events.rs
+++ b/crates/damaskhatch/tests/events.rs
@@ -1,6 +1,7 @@
 //! Guards against events that are held back, torn or miscounted because of how their lines end.
 
 use damaskhatch::upstream::events::{Error, MAX_EVENT_BYTES, Splitter};
+use damaskhatch_policy::ending::Content;
 use proptest::prelude::*;
 
 /// The bytes that the splitter returns for `chunks`, one entry a chunk.
@@ -91,6 +92,30 @@
     }
 }
 
+/// Guards against a resumed stream without any event that is complete although more was to come.
+#[test]
+fn a_resumption_without_events_does_not_complete_an_unfinished_stream() {
+    for (rest, expected) in [
+        ("", Content::BeforeEvents),
+        ("id", Content::InsideEvent),
+        ("id: 3\n", Content::InsideEvent),
+        (": a", Content::InsideEvent),
+        (": a\n", Content::BeforeEvents),
+    ] {
+        let mut splitter = Splitter::default();
+        splitter.push(b"id: 2\n\n").expect("the events are in order");
+        splitter.push(rest.as_bytes()).expect("no further event");
+        for _ in 0..2 {
+            splitter.resume();
+            assert_eq!(splitter.content(false), expected, "{rest:?}");
+        }
+        splitter.push(b": alive\n").expect("no further event");
+        assert_eq!(splitter.content(false), expected, "{rest:?}");
+        splitter.push(b"id: 3\n\n").expect("the events are in order");
+        assert_eq!(splitter.content(false), Content::AfterEvent, "{rest:?}");
+    }
+}
+
 /// Guards against an event without end that takes up all memory (review case 2).
 #[test]
 fn bytes_that_complete_no_event_are_kept_up_to_a_limit() {
--- a/crates/policy/src/ending.rs
+++ b/crates/policy/src/ending.rs
@@ -12,9 +12,10 @@
     Opaque,
     /// After an event of a stream.
     AfterEvent,
-    /// Inside an event of a stream.
+    /// Inside an event of a stream, or before the rest of one that an earlier body has begun.
     InsideEvent,
-    /// Before the first event of a stream that was requested from its beginning.
+    /// Before the first event of a stream that was requested from its beginning, or of one that goes on
+    /// with an earlier body.
     BeforeEvents,
 }
 
