Do not resume a stream after an event that another one follows

What callers saw: the last event before a break had no id. The stream was resumed after an earlier event, and the last one came twice.

Cause: is_resumable asked whether any event had an id, not the last one.

Evidence: a_stream_that_breaks_off_after_an_event_without_id_is_not_resumed on the commit before: `got (".. id: 2 .. data: unnamed\n\nid: 3\ndata: unnamed\n\n", true) instead of (".. id: 2 .. data: unnamed\n\n", false)`.

Why this works: no engine can be told to go on after an event without id.

Measured: passes, with the eight other tests of stream_continuations.

--- a/crates/damaskhatch/src/relay/stream.rs
+++ b/crates/damaskhatch/src/relay/stream.rs
@@ -290,12 +290,10 @@
 
     /// Whether the route and what was forwarded so far allow the stream to go on at another engine.
     fn is_resumable(&self) -> bool {
-        // Events without ids leave no way to name the one after which to resume.
-        let is_untouched = !self.splitter.has_event() && !self.has_opaque_bytes;
-        let has_resume_point = is_untouched || self.splitter.last_id().is_some();
         self.parts.routed.route.repeat == Repeat::ResumableStream
             && is_resumable(&self.parts.running.response.head)
-            && has_resume_point
+            && self.splitter.has_resume_point()
+            && !self.has_opaque_bytes
     }
 
     fn try_acquire_retry(&self) -> bool {
--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -117,6 +117,8 @@
     open_id: Option<u64>,
     has_event: bool,
     last_id: Option<u64>,
+    /// Whether the last complete event had an id.
+    is_last_named: bool,
     next: Next,
 }
 
@@ -147,6 +149,7 @@
             open_id: None,
             has_event: false,
             last_id: None,
+            is_last_named: false,
             next: Next::Same,
         }
     }
@@ -223,7 +226,7 @@
             }
         }
         self.next = Next::Same;
-        self.has_event = true;
+        (self.has_event, self.is_last_named) = (true, id.is_some());
         self.last_id = id.or(self.last_id);
         Ok(())
     }
@@ -231,10 +234,10 @@
     /// Discards an incomplete event before another engine's bytes are added, and returns the id
     /// of the last complete event.
     pub fn resume(&mut self) -> Option<u64> {
-        let Self { has_event, last_id, max_bytes, .. } = *self;
+        let Self { has_event, last_id, is_last_named, max_bytes, .. } = *self;
         let is_owed = self.next == Next::Owed || self.rest_bytes() > 0;
         let next = if is_owed { Next::Owed } else { Next::Resumed };
-        *self = Self { has_event, last_id, next, ..Self::new(max_bytes) };
+        *self = Self { has_event, last_id, is_last_named, next, ..Self::new(max_bytes) };
         last_id
     }
 
@@ -243,6 +246,11 @@
         self.next = Next::Owed;
     }
 
+    /// Whether another engine can be told after which event to go on: none, or one with an id.
+    pub const fn has_resume_point(&self) -> bool {
+        !self.has_event || self.is_last_named
+    }
+
     /// The id of the last complete event; `None` if no event had one.
     pub const fn last_id(&self) -> Option<u64> {
         self.last_id
