Take only status 200 for a token stream on the own interface

What callers saw: nothing wrong; an engine's response with 201, 205 or 206 was joined to a token stream if its lines named the request and the index.

Cause: engine::open_stream took every success, as the routes did.

Evidence: token_streams before: `201 .. left: ([Token { index: 2 .. }, Done { tokens: 3 .. }], Broken) right: ([], Malformed)`.

Why this works: the status is compared before the first line is read.

Measured: token_streams passes (26 calls by three framings, and 204); errors' texts, lines of another request and empty bodies were refused before, too.

--- a/crates/damaskhatch/src/upstream/engine.rs
+++ b/crates/damaskhatch/src/upstream/engine.rs
@@ -233,6 +233,10 @@
     let posted = post_with(address, path, request, call, on_head);
     let opened = tokio::time::timeout(SILENCE_TIMEOUT * 2, posted).await;
     let response = opened.unwrap_or(Err(Error::Silent))?;
+    if response.head.status != StatusCode::OK {
+        // Another success has no body, or only a part of one.
+        return Err(Error::Malformed);
+    }
     Ok(Tokens { request: request.to_owned(), response, buffer: Vec::new() })
 }
 
