--- a/crates/damaskhatch/src/upstream/events.rs
+++ b/crates/damaskhatch/src/upstream/events.rs
@@ -34,6 +34,11 @@
         /// Id of the first event afterwards.
         found: u64,
     },
+    /// resumed stream is out of order: got an event without id after event {last}
+    Unnamed {
+        /// Id of the last event before the stream was resumed.
+        last: u64,
+    },
     /// event exceeds {0} bytes
     TooLong(usize),
 }
@@ -112,8 +117,20 @@
     open_id: Option<u64>,
     has_event: bool,
     last_id: Option<u64>,
-    /// Whether the next event is the first from another engine.
-    is_resumed: bool,
+    /// Whether the last complete event had an id.
+    is_last_named: bool,
+    next: Next,
+}
+
+/// What is known about the next event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    /// It comes from the engine of the last one, or is the first of the stream.
+    Same,
+    /// It is the first from another engine.
+    Resumed,
+    /// The same, and an earlier engine had more to send after the last complete event.
+    Owed,
 }
 
 impl Default for Splitter {
@@ -132,7 +149,8 @@
             open_id: None,
             has_event: false,
             last_id: None,
-            is_resumed: false,
+            is_last_named: false,
+            next: Next::Same,
         }
     }
 
@@ -140,8 +158,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the first event after [`Self::resume`] has an id that is not the next, or if more bytes
-    /// than an event may have do not complete one.
+    /// Fails if the first event after [`Self::resume`] does not have the id that is the next, or if more
+    /// bytes than an event may have do not complete one.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
         self.lines.pending.extend_from_slice(bytes);
         // The length of the prefix that does not end inside an event.
@@ -174,7 +192,7 @@
         if self.lines.ended > 1 || !self.lines.pending[line.clone()].starts_with(BYTE_ORDER_MARK) {
             return line;
         }
-        if !self.is_resumed {
+        if self.next == Next::Same {
             return line.start + length..line.end;
         }
         self.lines.split_to(length);
@@ -200,13 +218,15 @@
             return Ok(());
         }
         let id = self.open_id.take();
-        if std::mem::take(&mut self.is_resumed)
-            && let (Some(last), Some(found)) = (self.last_id, id)
-            && found != last + 1
-        {
-            return Err(Error::Gap { last, found });
+        if let Some(last) = self.last_id.filter(|_| self.next != Next::Same) {
+            // An engine may report a failure as an event, which has no id.
+            let found = id.ok_or(Error::Unnamed { last })?;
+            if found != last + 1 {
+                return Err(Error::Gap { last, found });
+            }
         }
-        self.has_event = true;
+        self.next = Next::Same;
+        (self.has_event, self.is_last_named) = (true, id.is_some());
         self.last_id = id.or(self.last_id);
         Ok(())
     }
@@ -214,11 +234,23 @@
     /// Discards an incomplete event before another engine's bytes are added, and returns the id
     /// of the last complete event.
     pub fn resume(&mut self) -> Option<u64> {
-        let Self { has_event, last_id, max_bytes, .. } = *self;
-        *self = Self { has_event, last_id, is_resumed: true, ..Self::new(max_bytes) };
+        let Self { has_event, last_id, is_last_named, max_bytes, .. } = *self;
+        let is_owed = self.next == Next::Owed || self.rest_bytes() > 0;
+        let next = if is_owed { Next::Owed } else { Next::Resumed };
+        *self = Self { has_event, last_id, is_last_named, next, ..Self::new(max_bytes) };
         last_id
     }
 
+    /// Notes that a stream that has been resumed does not end after the last complete event.
+    pub const fn expect_more(&mut self) {
+        self.next = Next::Owed;
+    }
+
+    /// Whether another engine can be told after which event to go on: none, or one with an id.
+    pub const fn has_resume_point(&self) -> bool {
+        !self.has_event || self.is_last_named
+    }
+
     /// The id of the last complete event; `None` if no event had one.
     pub const fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -241,11 +273,13 @@
 
     /// Where a body that ends here ends.
     ///
-    /// `is_resumed` is whether the body was requested from a later event than the first.
+    /// `is_resumed` is whether the body was requested from a later event than the first. After
+    /// [`Self::resume`], a body without an event has none of the rest, which is right only if there is
+    /// no rest.
     pub fn content(&self, is_resumed: bool) -> Content {
-        if self.is_cut() {
+        if self.is_cut() || self.next == Next::Owed {
             Content::InsideEvent
-        } else if self.has_event || is_resumed {
+        } else if (self.has_event || is_resumed) && self.next == Next::Same {
             Content::AfterEvent
         } else {
             Content::BeforeEvents
