Send requests past plain upstreams that decline all of them

What callers saw: with a sound upstream beside one that declines at once, 196 to 215 of 400 requests on plain routes were refused with 503; on the own interface 180 of 600 calls failed with 502.

Cause: an upstream that declines looks idle, and neither a decline nor a 503 counted against it, so that half of all requests went there first. Each needed a retry, and the budget has 0.15 a request. The own interface took no failure into account, and asked its own domain first in any case.

Both faces use the record. The budget is unchanged.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -12,6 +12,7 @@
 pub mod openai;
 pub mod place;
 pub mod plain;
+mod pool;
 pub mod refusal;
 pub mod stream;
 
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -6,11 +6,10 @@
 
 use std::collections::HashSet;
 
-use actix_web::http::Method;
 use actix_web::http::header::HeaderMap as CallerHeaders;
+use actix_web::http::{Method, StatusCode};
 use actix_web::{HttpRequest, HttpResponse, web};
 use damaskhatch_exchange::{Head, HeaderMap};
-use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::prelude::*;
@@ -26,6 +25,7 @@
 use super::hold::Charged;
 use super::idempotency::{self, Response};
 use super::openai::estimate_tokens;
+use super::pool::{Pool, first_pause, usable_upstreams};
 use super::refusal::Refusal;
 use super::{Entry, read_body};
 use crate::headers;
@@ -188,6 +188,7 @@
             return Err(last.with_may_have_run(may_have_run));
         }
         let _entered = entry.in_flight.enter(upstream);
+        entry.outliers().begin_attempt(upstream, Instant::now());
         let address = snapshot.upstream(upstream).map(|u| snapshot.upstreams[u].address.clone());
         let sent_at = Instant::now();
         let address = address.unwrap_or_default();
@@ -201,6 +202,7 @@
         let called = plain::call(&address, &work.call, work.request, memory, learn).await;
         let error = match called {
             Ok((response, verdict)) => {
+                record_response(entry, upstream, response.status, verdict);
                 spend_all(&mut charged);
                 entry.shared.metrics.requests.with_label_values(&["plain", "answered"]).inc();
                 if verdict == Verdict::Complete {
@@ -226,6 +228,15 @@
     Err(Refusal::from(Kind::NoUpstream).with_may_have_run(may_have_run))
 }
 
+/// Records what a response says about whether its upstream serves.
+fn record_response(entry: &Entry, upstream: Tag, status: StatusCode, verdict: Verdict) {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        entry.outliers().record_decline(upstream, Instant::now());
+    } else if verdict == Verdict::Complete && !status.is_server_error() {
+        entry.outliers().record_success(upstream);
+    }
+}
+
 /// Marks every charged token as used, so that none is credited back.
 fn spend_all(charged: &mut Option<Charged>) {
     if let Some(charged) = charged {
@@ -249,7 +260,7 @@
     let mut soonest: Option<Duration> = None;
     let terms = Terms { team: work.caller.tag, priority: 0, patience: Duration::ZERO };
     let mut first = None;
-    while let Some(pool) = usable_upstreams(entry, snapshot, work, &held_back) {
+    while let Some(pool) = usable_upstreams(entry, snapshot, work.service, &held_back) {
         let Pool { upstreams, reason } = pool;
         let chosen = route::choose_plain(&upstreams, &entry.in_flight.snapshot(), &mut rand::rng());
         let Some(chosen) = chosen else { break };
@@ -264,7 +275,7 @@
         held_back.insert(chosen);
     }
     let (Some((chosen, reason)), Some(soonest)) = (first, soonest) else {
-        let refusal = first_pause(entry, snapshot, work, avoid).map(|until| {
+        let refusal = first_pause(entry, snapshot, work.service, avoid).map(|until| {
             Refusal::after(Kind::Overloaded, candidates::retry_after(until, Instant::now()))
         });
         return Err(refusal.unwrap_or(Kind::NoUpstream.into()));
@@ -279,52 +290,6 @@
     }
 }
 
-/// The upstreams of one choice, and why these.
-#[derive(Debug)]
-struct Pool {
-    upstreams: Vec<Tag>,
-    reason: &'static str,
-}
-
-/// The usable upstreams of this host's domain, or of all others; `None` if there is none.
-fn usable_upstreams(
-    entry: &Entry,
-    snapshot: &Snapshot,
-    work: &Work,
-    avoid: &HashSet<Tag>,
-) -> Option<Pool> {
-    let leaving = entry.shared.hosts().leaving_upstreams(Instant::now());
-    let listed = snapshot.services[work.service].upstreams.iter();
-    let available = |tag| entry.shared.availability.standing(tag, 0).allows_requests();
-    let usable = listed.map(|upstream| &snapshot.upstreams[*upstream]).filter(|item| {
-        !leaving.contains(&item.tag) && !avoid.contains(&item.tag) && available(item.tag)
-    });
-    let (local, remote): (Vec<_>, Vec<_>) =
-        usable.partition(|item| item.domain == entry.shared.domain);
-    let (pool, reason) =
-        if local.is_empty() { (remote, "other_domain") } else { (local, "own_domain") };
-    let upstreams: Vec<Tag> = pool.iter().map(|item| item.tag).collect();
-    (!upstreams.is_empty()).then_some(Pool { upstreams, reason })
-}
-
-/// When the first of the upstreams that have asked for a pause may be asked again.
-fn first_pause(
-    entry: &Entry,
-    snapshot: &Snapshot,
-    work: &Work,
-    avoid: &HashSet<Tag>,
-) -> Option<Instant> {
-    let listed = snapshot.services[work.service].upstreams.iter();
-    let tags = listed.map(|upstream| snapshot.upstreams[*upstream].tag);
-    let pauses = tags.filter(|tag| !avoid.contains(tag)).filter_map(|tag| {
-        match entry.shared.availability.standing(tag, 0) {
-            Standing::Paused(until) => Some(until),
-            _ => None,
-        }
-    });
-    pauses.min()
-}
-
 /// Logs the chosen upstream.
 fn log_route(
     entry: &Entry,
@@ -363,6 +328,10 @@
         format_args!("event=attempt_failed attempt={attempt} upstream={upstream} reason={error:?}"),
     );
     entry.shared.metrics.retries.with_label_values(&[&format!("{error:?}")]).inc();
+    match error {
+        Error::Declined => entry.outliers().record_decline(upstream, broke_at),
+        _ => entry.outliers().record_failure(upstream, broke_at),
+    }
     let Some(index) = snapshot.upstream(upstream) else {
         return;
     };
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use actix_web::HttpResponse;
+use damaskhatch_exchange::StatusCode;
 use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
 use damaskhatch_policy::availability::Statement;
@@ -59,6 +60,7 @@
             return Err(refusal);
         }
         tried.insert(upstream.tag);
+        entry.outliers().begin_attempt(upstream.tag, Instant::now());
         let number = history.attempts + 1;
         log_route(entry, &routed, &upstream, number);
         let load = Load { requests: 1, ..Load::default() };
@@ -79,11 +81,19 @@
             Ok(response) if !response.head.status.is_server_error() => {
                 return Ok(forward_response(entry, &routed, &upstream, response));
             }
-            Ok(response) => failed = Some(response),
+            Ok(response) => {
+                if response.head.status == StatusCode::SERVICE_UNAVAILABLE {
+                    entry.outliers().record_decline(upstream.tag, Instant::now());
+                }
+                failed = Some(response);
+            }
             Err(failure) => {
                 if failure.allows_same_upstream() {
                     tried.remove(&upstream.tag);
                 }
+                if failure.outcome == Outcome::NotRun && !failure.is_upstream_at_fault {
+                    entry.outliers().record_decline(upstream.tag, Instant::now());
+                }
                 let attempt = Attempt { history, ..attempt };
                 record_failure(entry, &routed, attempt, &failure).await;
             }
