Show HTTP/1.0 callers that a stream's host was killed

What callers saw: a stream to an HTTP/1.0 caller, whose end only the end of the connection marks, was closed in order when its host was killed in the middle, and so looked complete.

Cause: the reset that shows a failure was set when the host found the failure. A killed process finds nothing; the kernel closes its connections.

Evidence: platform/tests/killed_hosts.rs failed before the fix: after the SIGKILL the caller had the head and "data: a" and read the end without an error.

Why the fix works: the connection is set to be reset as the body begins, and the setting is undone at its end, so that the kernel resets it whatever ends the process. Both faces build streams in entry::body.

Measured: the test passes, and the 17 tests of stream_ends.rs, in which a whole stream to an HTTP/1.0 caller is not reset.

--- a/crates/damaskhatch/src/entry/body.rs
+++ b/crates/damaskhatch/src/entry/body.rs
@@ -1,7 +1,8 @@
 //! Streams a response's body so that its caller can tell a failure from the end.
 //!
 //! An HTTP/1.1 caller notices a failure by the missing last chunk. A body for an HTTP/1.0 caller ends
-//! with its connection, so only a reset shows the failure. See
+//! with its connection, so only a reset shows the failure: its connection is set to be reset from the
+//! beginning to the end of the body, which also shows that this process was killed meanwhile. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#ends-of-responses).
 
 use std::convert::Infallible;
@@ -43,19 +44,24 @@
 ) -> HttpResponse {
     let has_chunks = request.version() >= Version::HTTP_11;
     let connection = Connection::of(request).filter(|_| !has_chunks);
-    let body = body.then(move |item| {
-        let connection = connection.clone();
-        async move {
-            if item.is_err() {
-                // The server sends the items before the failure while it waits for this one.
-                yield_now().await;
-                if let Some(connection) = connection {
-                    connection.reset_on_close();
-                }
-            }
-            item
+    if let Some(connection) = &connection {
+        connection.reset_on_close();
+    }
+    let body = body.then(move |item| async move {
+        if item.is_err() {
+            // The server sends the items before the failure while it waits for this one.
+            yield_now().await;
+        }
+        item
+    });
+    // The server polls no further after a failure.
+    let end = futures_util::stream::once(async move {
+        if let Some(connection) = connection {
+            connection.end_on_close();
         }
+        None
     });
+    let body = body.map(Some).chain(end).filter_map(std::future::ready);
     let mut response = response.streaming(body);
     if !has_chunks {
         response.head_mut().no_chunking(true);
--- a/crates/damaskhatch/src/entry/closed.rs
+++ b/crates/damaskhatch/src/entry/closed.rs
@@ -44,10 +44,20 @@
     }
 
     /// Makes the connection's close a reset, which the caller cannot take for the end of a body.
+    ///
+    /// The kernel closes the connections of a process that is killed, and obeys this too.
     pub fn reset_on_close(&self) {
-        let set = SockRef::from(&self.0.0).set_linger(Some(Duration::ZERO));
-        if let Err(error) = set {
-            log::warn!("event=reset_not_set error={error}");
+        self.set_linger(Some(Duration::ZERO));
+    }
+
+    /// Undoes [`Self::reset_on_close`], for a body that has come to its end.
+    pub fn end_on_close(&self) {
+        self.set_linger(None);
+    }
+
+    fn set_linger(&self, linger: Option<Duration>) {
+        if let Err(error) = SockRef::from(&self.0.0).set_linger(linger) {
+            log::warn!("event=linger_not_set linger={linger:?} error={error}");
         }
     }
 }
