--- a/crates/damaskhatch/src/entry/closed.rs
+++ b/crates/damaskhatch/src/entry/closed.rs
@@ -71,13 +71,25 @@
     }
 
     /// Makes the connection's close a reset, which the caller cannot take for the end of a body.
+    ///
+    /// The kernel closes the connections of a process that is killed, and obeys this too.
     pub fn reset_on_close(&self) {
-        let Duplicate { descriptor: Some(descriptor), is_reset, .. } = &*self.0.0 else {
+        self.set_reset(true);
+    }
+
+    /// Undoes [`Self::reset_on_close`], for a body that has come to its end.
+    pub fn end_on_close(&self) {
+        self.set_reset(false);
+    }
+
+    fn set_reset(&self, is_reset: bool) {
+        let Duplicate { descriptor: Some(descriptor), is_reset: stored, .. } = &*self.0.0 else {
             return;
         };
-        is_reset.store(true, Ordering::Relaxed);
-        if let Err(error) = SockRef::from(descriptor).set_linger(Some(Duration::ZERO)) {
-            log::warn!("event=reset_not_set error={error}");
+        stored.store(is_reset, Ordering::Relaxed);
+        let linger = is_reset.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(descriptor).set_linger(linger) {
+            log::warn!("event=linger_not_set linger={linger:?} error={error}");
         }
     }
 }
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -13,6 +13,7 @@
 pub mod openai;
 pub mod place;
 pub mod plain;
+mod pool;
 pub mod refusal;
 pub mod stream;
 pub mod unread;
