Restart control actors after a panic of a future that they spawned

After one panic the host would run on without its configuration, list of upstreams, charges or roster, until somebody restarts the process.

Cause: supervise::guard catches panics of handlers and timers only. What an actor does with a reply of the store or of another host is in a future that it spawns. A panic there ends the task of the runtime's supervisor and with it the actor.

Fix: control::supervisor runs the whole context of an actor and restarts it behind the same address after any panic. It pauses before that, so that an actor that panics at each start leaves time to the others.

--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -16,8 +16,9 @@
 pub mod scheduling;
 pub mod stages;
 pub mod strikes;
+pub mod supervisor;
 
-use actix::{Arbiter, Supervisor};
+use actix::Arbiter;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
 use damaskhatch_policy::limit;
@@ -124,68 +125,62 @@
         let thread = arbiter.handle();
         let membership = {
             let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| membership::Membership::new(shared, view))
+            supervisor::start(&thread, |_| membership::Membership::new(shared, view))
         };
         let configuration = {
             let shared = shared.clone();
             let (codec, archive) = (Arc::clone(codec), Arc::clone(archive));
-            Supervisor::start_in_arbiter(&thread, |_| {
+            supervisor::start(&thread, |_| {
                 configuration::Configuration::new(shared, codec, archive, config, freshness)
             })
         };
         let quota = {
             let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| quota::Quota::new(shared))
+            supervisor::start(&thread, |_| quota::Quota::new(shared))
         };
         let roster = {
             let (shared, membership) = (shared.clone(), membership.clone());
             let quota = quota.clone();
-            Supervisor::start_in_arbiter(&thread, |_| {
-                roster::Keeper::new(shared, membership, quota)
-            })
+            supervisor::start(&thread, |_| roster::Keeper::new(shared, membership, quota))
         };
         let limits = {
             let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| limits::Limits::new(shared, limits))
+            supervisor::start(&thread, |_| limits::Limits::new(shared, limits))
         };
         let scheduling = {
             let (shared, membership) = (shared.clone(), membership.clone());
             let limits = limits.clone();
-            Supervisor::start_in_arbiter(&thread, |_| {
-                scheduling::Scheduling::new(shared, membership, limits)
-            })
+            supervisor::start(&thread, |_| scheduling::Scheduling::new(shared, membership, limits))
         };
         let claims = {
             let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| claims::Claims::new(shared))
+            supervisor::start(&thread, |_| claims::Claims::new(shared))
         };
         let strikes = {
             let (shared, scheduling) = (shared.clone(), scheduling.clone());
             let channels = strikes::Channels { codec: Arc::clone(codec), publish: strikes };
-            Supervisor::start_in_arbiter(&thread, |_| {
-                strikes::Strikes::new(shared, scheduling, channels)
-            })
+            supervisor::start(&thread, |_| strikes::Strikes::new(shared, scheduling, channels))
         };
         let lineage = shared.deployment.catalogue.map(|_catalogue| {
             let shared = shared.clone();
-            Supervisor::start_in_arbiter(&thread, |_| lineage::Lineage::new(shared))
+            supervisor::start(&thread, |_| lineage::Lineage::new(shared))
         });
         let follow = shared.deployment.catalogue.map(|catalogue| {
             let listing = {
                 let (shared, archive) = (shared.clone(), Arc::clone(archive));
-                Supervisor::start_in_arbiter(&thread, move |_| {
+                supervisor::start(&thread, move |_| {
                     listing::Listing::new(shared, catalogue, archive, registry)
                 })
             };
             let (shared, codec) = (shared.clone(), Arc::clone(codec));
             let configuration = configuration.clone();
-            Supervisor::start_in_arbiter(&thread, move |_| {
+            supervisor::start(&thread, move |_| {
                 follow::Follow::new(shared, codec, configuration, listing, follow_freshness)
             })
         });
         if shared.settings.schedule.prefill_percent > 0 {
             let (shared, limits) = (shared.clone(), limits.clone());
-            Supervisor::start_in_arbiter(&thread, |_| stages::Stages::new(shared, limits));
+            supervisor::start(&thread, |_| stages::Stages::new(shared, limits));
         }
         Self {
             membership,
