Refuse connections that reach a stopping host, in place of resetting them

Cause: at the end of the notice the HTTP server closes its listener, and the kernel resets the connections in its queue; its workers drop those that wait for them.

Fix: the server pauses, a duplicate of its listener stays open to the end of the stop, and each connection on it gets 503 "not run" with Connection: close. The queue is emptied before the listener is closed. At a start the caller port is bound last, so that no caller waits for another port (found by the review of the change). Refusals and closing connections have 100 ms after the time limit of a stop.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod plain;
 mod pool;
 pub mod refusal;
+pub mod refuser;
 pub mod stream;
 pub mod unread;
 
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -29,6 +29,7 @@
 use crate::decision::Journal;
 use crate::deployment::Deployment;
 use crate::entry::closing::Closing;
+use crate::entry::refuser::Refuser;
 use crate::entry::{self, Entry, closed, unread};
 use crate::listeners::{Listeners, bind_operator};
 use crate::memory::Budgets;
@@ -46,6 +47,10 @@
 /// The time between the end of the last requests and the end of a draining host, in which the responses are
 /// sent.
 const END_TIME: Duration = Duration::from_millis(250);
+/// The time for closing connections after everything else has ended or the time for it is up.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+/// How long a connection takes at most from the HTTP server's listener to the worker that serves it.
+const HANDOFF_TIME: Duration = Duration::from_millis(100);
 /// How long a draining host waits for other hosts to take over its bucket slots.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long after its start a host reports that it is not ready because no host holds any
@@ -136,6 +141,7 @@
         Operator { shared: shared.clone(), control: control.clone(), stop: Arc::clone(&stop) };
     let operators =
         spawn_lasting("operators", &shared.stop, serve_operators(listeners.operator, operator));
+    let caller_port = listeners.caller.try_clone()?;
     let caller_server = start_caller_server(listeners.caller, &shared, &control)?;
     if let Some(listener) = listeners.ready {
         start_readiness_server(listener, &shared)?;
@@ -153,7 +159,7 @@
         () = stop.notified() => log::info!("event=stop_requested by=operator"),
     }
     tokio::select! {
-        () = drain(&shared, &caller_server) => {}
+        () = drain(&shared, &caller_server, caller_port) => {}
         never = handle_further_signals(&mut signals, &settings) => match never {},
     }
     operators.abort();
@@ -286,16 +292,21 @@
 }
 
 /// Drains the host: it takes no new roles, keeps serving for `notice_ms` so that load balancers
-/// see the readiness change, then waits until every request has ended.
+/// see the readiness change, then waits until every request has ended, and refuses new ones on
+/// `caller_port`, a duplicate of the server's listener.
 ///
 /// All of it takes `drain_s` at most.
-async fn drain(shared: &Shared, caller_server: &ServerHandle) {
+async fn drain(shared: &Shared, caller_server: &ServerHandle, caller_port: TcpListener) {
     let limits = &shared.settings.limits;
     let time = Duration::from_secs(limits.drain_s);
     log::info!("event=draining in_flight={}", shared.metrics.in_flight.get());
     let end = shared.stop.begin(time) + END_TIME;
     let notice = Duration::from_millis(limits.notice_ms);
     tokio::time::sleep(stop::notice_time(notice, time)).await;
+    caller_server.pause().await;
+    let refuser = Refuser::start(caller_port, shared);
+    // A worker that stops drops the connections that wait for it.
+    tokio::time::sleep(HANDOFF_TIME).await;
     let stopping = caller_server.stop(true);
     tokio::pin!(stopping);
     loop {
@@ -322,5 +333,10 @@
     while shared.metrics.cancels_open.get() > 0 && Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    shared.closing.finish(end).await;
+    let closed = end + CLOSE_TIME;
+    match refuser {
+        Ok(refuser) => refuser.finish(closed).await,
+        Err(error) => log::error!("event=no_refusals error={error}"),
+    }
+    shared.closing.finish(closed).await;
 }
--- a/crates/damaskhatch/src/listeners.rs
+++ b/crates/damaskhatch/src/listeners.rs
@@ -59,13 +59,14 @@
         let bind = async |address| UdpSocket::bind(address).await;
         let datagrams = retry("peer", host.peer, until, bind).await?;
         let peers = retry("peer", host.peer, until, async |address| listen(address)).await?;
-        let caller = retry("caller", host.caller, until, async |address| listen(address)).await?;
         let ready = match host.ready {
             Some(ready) => {
                 Some(retry("ready", ready, until, async |address| listen(address)).await?)
             }
             None => None,
         };
+        // Last, because callers can connect from then on, and nobody serves them during a wait.
+        let caller = retry("caller", host.caller, until, async |address| listen(address)).await?;
         Ok(Self {
             datagrams,
             peers,
--- a/crates/damaskhatch/src/relay/dialect.rs
+++ b/crates/damaskhatch/src/relay/dialect.rs
@@ -110,6 +110,15 @@
 }
 
 impl Dialect {
+    /// The value of `Retry-After`, in seconds.
+    pub fn retry_after(&self, wait: Duration) -> String {
+        if self.has_fractional_retry {
+            return format!("{:.3}", wait.as_secs_f64());
+        }
+        // Rounded up to whole seconds, so that a caller that complies never retries too early.
+        wait.as_millis().div_ceil(1_000).to_string()
+    }
+
     /// The default dialect, for deployments without an adapter.
     pub const OWN: Self = Self {
         headers: Headers {
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -21,8 +21,6 @@
 pub mod stream;
 pub mod version;
 
-use std::time::Duration;
-
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse, web};
 
@@ -98,17 +96,9 @@
     entry.shared.metrics.refusals.with_label_values(&[&format!("{kind:?}")]).inc();
     let status = StatusCode::from_u16(kind.answer().status);
     let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    let dialect = entry.shared.deployment.dialect;
     if let Some(wait) = refusal.retry_delay() {
-        response.insert_header(("retry-after", retry_after_text(entry, wait)));
+        response.insert_header(("retry-after", dialect.retry_after(wait)));
     }
     response.json(refusal.body(label))
 }
-
-/// The value of `Retry-After`, in seconds.
-fn retry_after_text(entry: &Entry, wait: Duration) -> String {
-    if entry.shared.deployment.dialect.has_fractional_retry {
-        return format!("{:.3}", wait.as_secs_f64());
-    }
-    // Rounded up to whole seconds, so that a caller that complies never retries too early.
-    wait.as_millis().div_ceil(1_000).to_string()
-}
