--- a/crates/damaskhatch/src/entry/refuser.rs
+++ b/crates/damaskhatch/src/entry/refuser.rs
@@ -98,10 +98,7 @@
 /// Responds to the first request of a connection, and hands the connection over to be closed.
 async fn refuse(mut stream: TcpStream, shared: Shared) {
     // Without a request there is nothing to be answered.
-    let head = match timeout(HEAD_TIMEOUT, read_head(&mut stream)).await {
-        Ok(Ok(Some(head))) => head,
-        Ok(Ok(None) | Err(_)) | Err(_) => return,
-    };
+    let Ok(Ok(Some(head))) = timeout(HEAD_TIMEOUT, read_head(&mut stream)).await else { return };
     let mut response = response(&shared);
     if head.starts_with(b"HEAD ") {
         let head_bytes = response.find("\r\n\r\n").map_or(response.len(), |end| end + 4);
