Send nothing new to the engines of an evacuated domain

Nothing read the operators' entries that evacuate a domain, so its engines went on getting requests, reservations and prefills. The hosts that read the store now follow all keys of the operators with the watch that they have for the configuration, so no further call is made, and tell the set of evacuated domains to all hosts at once and with each heartbeat from then on. The set is versioned like everything read from the store, and the later one holds. Choices, checks before a send, role orders and the own interface's schedulers leave the engines out; requests that have no others are refused at once.

--- a/crates/damaskhatch/src/cli/report.rs
+++ b/crates/damaskhatch/src/cli/report.rs
@@ -25,6 +25,9 @@
         "{} at revision {}, {} requests in flight{draining}",
         status.name, status.revision, status.in_flight
     );
+    if !status.evacuated.is_empty() {
+        println!("evacuated: {}", status.evacuated.join(", "));
+    }
     println!("{:<20} {:<22} {:<8} {:>8} {:>6}", "DOMAIN", "ADDRESS", "STATE", "REVISION", "SLOTS");
     for host in &status.hosts {
         let state = match (host.alive, host.leaving) {
--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use damaskhatch_policy::config::{self, Head};
-use damaskhatch_policy::prelude::Instant;
+use damaskhatch_policy::evacuation;
+use damaskhatch_policy::prelude::{Instant, Tag};
 use damaskhatch_policy::sheet::Row;
 use damaskhatch_store::error::Error as StoreError;
+use damaskhatch_store::message::Listing;
 use damaskhatch_store::prelude::{Client, Store};
 use damaskhatch_store::store;
 use damaskhatch_wire::prelude::Body;
@@ -97,10 +99,40 @@
     pub chunks: Chunks,
     /// Digests of the withdrawn keys that a peer reported; empty from the platform.
     pub withdrawn: Vec<String>,
+    /// The domains that are evacuated, as far as the read shows; unchanged from a peer.
+    pub evacuations: Evacuations,
     /// What it took to read, for logs.
     pub cost: Cost,
 }
 
+/// What a read of the store shows of the domains that operators have evacuated.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Evacuations {
+    /// Nothing: the source has no such entries.
+    #[default]
+    Unknown,
+    /// All evacuated domains, as of this version of the store.
+    All(Vec<Tag>, u64),
+    /// The changes up to this version of the store.
+    Changed(Vec<evacuation::Change>, u64),
+}
+
+impl Evacuations {
+    /// Finds the entries of evacuated domains in a complete listing or in the changes of a watch.
+    fn find(prefix: &str, listing: &Listing, is_complete: bool) -> Self {
+        let changes = listing.items.iter().filter_map(|(key, item)| {
+            let domain = Tag::of(key.strip_prefix(prefix)?);
+            Some(evacuation::Change { domain, is_evacuated: item.is_some() })
+        });
+        let changes: Vec<evacuation::Change> = changes.collect();
+        if is_complete {
+            let domains = changes.iter().map(|change| change.domain).collect();
+            return Self::All(domains, listing.version);
+        }
+        Self::Changed(changes, listing.version)
+    }
+}
+
 /// What it took to read a configuration.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Cost {
@@ -118,16 +150,25 @@
 /// a further read goes on where this one fails.
 pub async fn pull(source: Source, revision: u64, archive: SharedArchive) -> Result<Pulled> {
     let started = Instant::now();
-    let Latest { head, version, withdrawn, rows, mut cost } = read_head(&source).await?;
+    let Latest { head, version, withdrawn, rows, evacuations, mut cost } =
+        read_head(&source).await?;
     if let Some(rows) = rows.filter(|_| head.revision > revision) {
         let decoded_at = Instant::now();
         let (head, chunks) = encode_chunks(head.revision, &rows, &archive);
         cost.decoding += decoded_at.elapsed();
-        return Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, cost });
+        return Ok(Pulled {
+            head,
+            version,
+            rows: Some(rows),
+            chunks,
+            withdrawn,
+            evacuations,
+            cost,
+        });
     }
     if head.revision <= revision {
         let chunks = Chunks::new();
-        return Ok(Pulled { head, version, rows: None, chunks, withdrawn, cost });
+        return Ok(Pulled { head, version, rows: None, chunks, withdrawn, evacuations, cost });
     }
     cost.bytes += read_chunks(&source, &head, &archive).await?;
     cost.reading = started.elapsed();
@@ -139,7 +180,7 @@
         chunks.insert(digest.clone(), chunk);
     }
     cost.decoding = started.elapsed().saturating_sub(cost.reading);
-    Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, cost })
+    Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, evacuations, cost })
 }
 
 /// The head of the newest configuration, with the other data that its source sends.
@@ -149,13 +190,16 @@
     withdrawn: Vec<String>,
     /// The rows, if the source stores the configuration under a single key.
     rows: Option<Vec<Row>>,
+    /// The domains that are evacuated.
+    evacuations: Evacuations,
     /// What it took to read those rows.
     cost: Cost,
 }
 
 impl Latest {
     fn without_rows(head: Head, version: u64, withdrawn: Vec<String>) -> Self {
-        Self { head, version, withdrawn, rows: None, cost: Cost::default() }
+        let (evacuations, cost) = (Evacuations::Unknown, Cost::default());
+        Self { head, version, withdrawn, rows: None, evacuations, cost }
     }
 }
 
@@ -182,29 +226,40 @@
     after: u64,
     wait: Duration,
 ) -> Result<Latest> {
-    let key = foreign.catalogue.config_key;
+    let Catalogue { operator_prefix: prefix, config_key: key, evacuation_prefix, .. } =
+        foreign.catalogue;
     let started = Instant::now();
-    let (item, version) = if wait.is_zero() {
+    let is_complete = wait.is_zero();
+    let listing = if is_complete {
         // Watch from the store's version, not the key's: the store may have dropped the history
         // since the key's version, and every watch from there would fail.
-        let listing = client.list(key, false).await?;
-        let found = listing.items.into_iter().find(|(listed, _)| listed == key);
-        let item = found.and_then(|(_, item)| item).ok_or(StoreError::Missing)?;
-        (Some(item), listing.version)
+        client.list(prefix, false).await?
     } else {
-        let changes = client.watch_prefix(key, after, wait).await?;
-        let last = changes.items.into_iter().rfind(|(changed, _)| changed == key);
-        (last.and_then(|(_, item)| item), changes.version)
+        client.watch_prefix(prefix, after, wait).await?
     };
-    let Some(item) = item else {
-        return Ok(Latest::without_rows(Head::default(), version, Vec::new()));
+    let evacuations = Evacuations::find(evacuation_prefix, &listing, is_complete);
+    let version = listing.version;
+    let last = listing.items.into_iter().rfind(|(listed, _)| listed == key);
+    let Some(item) = last.and_then(|(_, item)| item) else {
+        if is_complete {
+            return Err(StoreError::Missing.into());
+        }
+        let latest = Latest::without_rows(Head::default(), version, Vec::new());
+        return Ok(Latest { evacuations, ..latest });
     };
     let reading = started.elapsed();
     let configuration = (foreign.catalogue.decode_config)(&item.value, &foreign.domains)?;
     let head = Head { revision: configuration.revision, ..Head::default() };
     let decoding = started.elapsed().saturating_sub(reading);
     let cost = Cost { bytes: item.value.len(), reading, decoding };
-    Ok(Latest { head, version, withdrawn: Vec::new(), rows: Some(configuration.rows), cost })
+    Ok(Latest {
+        head,
+        version,
+        withdrawn: Vec::new(),
+        rows: Some(configuration.rows),
+        evacuations,
+        cost,
+    })
 }
 
 /// Reads the head of the newest configuration; with a watch, waits for a change first.
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -15,9 +15,10 @@
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::config_pull::{self, Cost, Foreign, Pulled, Source, encode_chunks, pull};
+use crate::config_pull::{self, Cost, Evacuations, Foreign, Pulled, Source, encode_chunks, pull};
 use crate::control::Incoming;
 use crate::control::dependency::Dependency;
+use crate::control::evacuation;
 use crate::peers::{Arrival, SharedCodec};
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -144,7 +145,8 @@
     ///
     /// Its withdrawals are applied in either case.
     fn apply_pulled(&mut self, pulled: Pulled, source: impl std::fmt::Display) {
-        let Pulled { head, version, rows, chunks, withdrawn, cost } = pulled;
+        let Pulled { head, version, rows, chunks, withdrawn, evacuations, cost } = pulled;
+        evacuation::learn(&self.shared, evacuations);
         self.version = self.version.max(version);
         let revision = head.revision;
         let mut changed = false;
@@ -342,8 +344,10 @@
         if head.chunks.iter().all(|digest| chunks.contains_key(digest)) {
             let (head, version) = (head.clone(), 0);
             let rows = Some(rows);
-            let (withdrawn, cost) = (Vec::new(), Cost::default());
-            self.apply_pulled(Pulled { head, version, rows, chunks, withdrawn, cost }, "operator");
+            let (withdrawn, evacuations) = (Vec::new(), Evacuations::Unknown);
+            let cost = Cost::default();
+            let written = Pulled { head, version, rows, chunks, withdrawn, evacuations, cost };
+            self.apply_pulled(written, "operator");
         }
     }
 }
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::watch;
 
-use crate::control::{Incoming, on_change, on_restore};
+use crate::control::{Incoming, evacuation, on_change, on_restore};
 use crate::shared::Shared;
 use crate::supervise::guard;
 
@@ -94,7 +94,11 @@
         own.leaving_upstreams.extend(&self.listed_leaving);
         let heartbeat = self.view.next_heartbeat(&mut self.rng, now);
         let notices = self.notices(now);
+        let evacuations = evacuation::statement(&self.shared);
         for to in heartbeat.to {
+            if let Some(evacuations) = &evacuations {
+                self.shared.outbox.send(to, evacuations.clone());
+            }
             let (records, counts) = (heartbeat.records.clone(), heartbeat.counts.clone());
             self.shared.outbox.send(to, Body::Heartbeat { records, counts });
             if !notices.is_empty() {
@@ -279,6 +283,9 @@
                 actor.publish();
             }
             Body::Availability(notices) => actor.merge_notices(notices),
+            Body::Evacuations { version, domains } => {
+                evacuation::merge(&actor.shared, domains, *version);
+            }
             _ => {}
         });
     }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod dependency;
+pub mod evacuation;
 pub mod follow;
 pub mod limits;
 pub mod lineage;
@@ -199,7 +200,7 @@
     /// Sends a message to the actor that handles its kind.
     pub fn deliver(&self, arrival: Arrival) {
         match &arrival.body {
-            Body::Heartbeat { .. } | Body::Availability(_) => {
+            Body::Heartbeat { .. } | Body::Availability(_) | Body::Evacuations { .. } => {
                 self.membership.do_send(Incoming(arrival));
             }
             Body::Charge(_)
--- a/crates/damaskhatch/src/control/scheduling.rs
+++ b/crates/damaskhatch/src/control/scheduling.rs
@@ -269,8 +269,10 @@
                     return;
                 };
                 actor.leaving.insert(tag, load.leaving);
-                let standing = actor.shared.availability.standing(tag, 0);
-                load.leaving |= is_announced_leaving || standing == Standing::Leaving;
+                let (domain, now) = (actor.shared.domain, Instant::now());
+                let standing = actor.shared.availability.lock().standing_in(domain, tag, 0, now);
+                load.leaving |= is_announced_leaving
+                    || matches!(standing, Standing::Leaving | Standing::Evacuated);
                 for scheduler in actor.schedulers.values_mut() {
                     scheduler.update_load(tag, &load);
                 }
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -90,7 +90,9 @@
         let models = snapshot.services.iter().filter(|(_, service)| service.engines.is_some());
         for (_, service) in models {
             let availability = &self.shared.availability;
-            let stays = |engine: &&Entry| availability.standing_of(engine) != Standing::Leaving;
+            let stays = |engine: &&Entry| {
+                !matches!(availability.standing_of(engine), Standing::Leaving | Standing::Evacuated)
+            };
             let pools = stages::pools(registry.usable(service.tag).filter(stays));
             self.debounces.retain(|(tag, version), _| {
                 *tag != service.tag || pools.is_empty() || pools.contains_key(version)
--- a/crates/damaskhatch/src/deployment.rs
+++ b/crates/damaskhatch/src/deployment.rs
@@ -27,10 +27,15 @@
 /// Where an environment stores its configuration and its upstreams, and how they are decoded.
 #[derive(Debug, Clone, Copy)]
 pub struct Catalogue {
+    /// The prefix of all keys that operators write, which one watch follows.
+    pub operator_prefix: &'static str,
     /// The key under which the complete newest configuration is stored.
     pub config_key: &'static str,
     /// Decodes that key's value; the second argument is the setting `domains` of the host.
     pub decode_config: fn(&str, &[String]) -> Result<Configuration, Error>,
+    /// The prefix of a key for each evacuated domain; the rest of the key is the domain's name, and the
+    /// value says nothing.
+    pub evacuation_prefix: &'static str,
     /// The prefix under which upstreams register themselves.
     pub upstream_prefix: &'static str,
     /// Decodes one registration from its key and value.
--- a/crates/damaskhatch/src/entry/generate.rs
+++ b/crates/damaskhatch/src/entry/generate.rs
@@ -113,7 +113,7 @@
         priority: job.priority,
     };
     let (engine, sent_at) = (lease.pair.decode, Instant::now());
-    if !job.entry.shared.availability.standing(engine, 0).allows_requests() {
+    if !job.entry.standing(engine).allows_requests() {
         // It has asked for a pause or begun to leave since it was chosen. Nothing was sent.
         return Err(record_failure(lease, engine, Error::Declined, false));
     }
--- a/crates/damaskhatch/src/entry/place.rs
+++ b/crates/damaskhatch/src/entry/place.rs
@@ -135,7 +135,8 @@
 async fn choose_fallback(entry: &Entry, demand: &Demand) -> Result<Pair, Refusal> {
     let snapshot = entry.shared.snapshot();
     let mut engines = sample_engines(&snapshot, entry.shared.domain, demand);
-    engines.retain(|engine| entry.shared.availability.standing(engine.tag, 0).allows_requests());
+    let availability = &entry.shared.availability;
+    engines.retain(|engine| availability.standing_of_configured(engine).allows_requests());
     let reads = engines.iter().map(async |engine| {
         let sent_at = Instant::now();
         let learn = |head: &Head| generate::hear(entry, engine.tag, sent_at, head);
@@ -209,7 +210,8 @@
     pub paused_until: Option<Instant>,
 }
 
-/// Finds the engines of a service that have said that they leave or want a pause.
+/// Finds the engines of a service that have said that they leave or want a pause, and those of evacuated
+/// domains.
 pub fn find_unavailable(entry: &Entry, service: Tag) -> Unavailable {
     let (snapshot, now) = (entry.shared.snapshot(), Instant::now());
     let table = entry.shared.availability.lock();
@@ -220,7 +222,7 @@
         let engines = engines.filter(|engine| engine.role == role || engine.role == Role::Both);
         let (mut soonest, mut is_any_available) = (None::<Instant>, false);
         for engine in engines {
-            let standing = table.standing(engine.tag, 0, now);
+            let standing = table.standing_in(engine.domain, engine.tag, 0, now);
             is_any_available |= standing.allows_requests();
             if let Standing::Paused(until) = standing {
                 soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
@@ -236,8 +238,8 @@
     unavailable
 }
 
-/// An engine whose limit is used up, or that has asked for a pause or is leaving, and when a request
-/// may come back.
+/// An engine whose limit is used up, that has asked for a pause, is leaving or is in an evacuated domain,
+/// and when a request may come back.
 #[derive(Debug)]
 pub struct HeldBack {
     /// The engine.
@@ -254,9 +256,9 @@
 ) -> Result<[Permit; 2], HeldBack> {
     let terms = Terms { team, priority: 0, patience: PERMIT_PATIENCE };
     let acquire = async |engine| {
-        let retry_after = match entry.shared.availability.standing(engine, 0) {
+        let retry_after = match entry.standing(engine) {
             Standing::Paused(until) => Some(candidates::retry_after(until, Instant::now())),
-            Standing::Leaving => Some(Duration::ZERO),
+            Standing::Leaving | Standing::Evacuated => Some(Duration::ZERO),
             Standing::Available | Standing::Discouraged => None,
         };
         if let Some(retry_after) = retry_after {
--- a/crates/damaskhatch/src/entry/pool.rs
+++ b/crates/damaskhatch/src/entry/pool.rs
@@ -28,9 +28,10 @@
 ) -> Option<Pool> {
     let leaving = entry.shared.hosts().leaving_upstreams(Instant::now());
     let listed = snapshot.services[service].upstreams.iter();
-    let available = |tag| entry.shared.availability.standing(tag, 0).allows_requests();
+    let standing = |item| entry.shared.availability.standing_of_configured(item);
     let usable = listed.map(|upstream| &snapshot.upstreams[*upstream]).filter(|item| {
-        !leaving.contains(&item.tag) && !avoid.contains(&item.tag) && available(item.tag)
+        let is_avoided = leaving.contains(&item.tag) || avoid.contains(&item.tag);
+        !is_avoided && standing(item).allows_requests()
     });
     let now = Instant::now();
     let (ejected, healthy): (Vec<_>, Vec<_>) =
@@ -52,9 +53,9 @@
     avoid: &HashSet<Tag>,
 ) -> Option<Instant> {
     let listed = snapshot.services[service].upstreams.iter();
-    let tags = listed.map(|upstream| snapshot.upstreams[*upstream].tag);
-    let pauses = tags.filter(|tag| !avoid.contains(tag)).filter_map(|tag| {
-        match entry.shared.availability.standing(tag, 0) {
+    let listed = listed.map(|upstream| &snapshot.upstreams[*upstream]);
+    let pauses = listed.filter(|item| !avoid.contains(&item.tag)).filter_map(|item| {
+        match entry.shared.availability.standing_of_configured(item) {
             Standing::Paused(until) => Some(until),
             _ => None,
         }
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -50,6 +50,8 @@
     pub statements: IntCounterVec,
     /// Choices for which upstreams were left out, by reason.
     pub left_out: IntCounterVec,
+    /// Domains that operators have evacuated, as this host knows.
+    pub evacuated_domains: IntGauge,
     /// Entries of upstreams that were left out because they are malformed.
     pub left_out_entries: IntCounter,
     /// Pairs of engines that this host chose itself, without a scheduler.
@@ -128,6 +130,7 @@
                 &["kind"],
             ),
             left_out: counters(r, "left_out_total", "Choices without some upstreams.", &["reason"]),
+            evacuated_domains: gauge(r, "evacuated_domains", "Evacuated domains."),
             left_out_entries: counter(r, "entries_left_out_total", "Malformed entries."),
             fallbacks: counter(r, "fallbacks_total", "Pairs chosen without a scheduler."),
             cancels_open: gauge(r, "cancels_open", "Cancellations not confirmed yet."),
--- a/crates/damaskhatch/src/operator.rs
+++ b/crates/damaskhatch/src/operator.rs
@@ -46,6 +46,9 @@
     pub hosts: Vec<HostStatus>,
     /// The names of the sheet's domains that have a share.
     pub domains: Vec<String>,
+    /// The names of the domains that operators have evacuated, as the host knows.
+    #[serde(default)]
+    pub evacuated: Vec<String>,
 }
 
 /// A host as seen by the host that responds.
@@ -158,16 +161,13 @@
 async fn status(operator: web::Data<Operator>) -> HttpResponse {
     let shared = &operator.shared;
     let (snapshot, view, now) = (shared.snapshot(), shared.hosts(), Instant::now());
-    let domain = |tag| {
-        let known = snapshot.domain(tag).map(|domain| snapshot.domains[domain].name.clone());
-        known.unwrap_or_else(|| tag.to_string())
-    };
+    let evacuated: Vec<Tag> = shared.availability.lock().evacuations.domains().collect();
     let others = view.members().map(|member| (&member.record, member.is_alive(now)));
     let all = std::iter::once((&view.own, true)).chain(others);
     let mut hosts: Vec<HostStatus> = all
         .map(|(record, alive)| HostStatus {
             host: record.host.to_string(),
-            domain: domain(record.domain),
+            domain: shared.domain_name(record.domain),
             address: record.address.to_string(),
             alive,
             leaving: record.is_leaving,
@@ -189,6 +189,7 @@
             .filter(|(_, domain)| domain.share > 0.0)
             .map(|(_, domain)| domain.name.clone())
             .collect(),
+        evacuated: evacuated.into_iter().map(|domain| shared.domain_name(domain)).collect(),
     })
 }
 
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -292,6 +292,7 @@
 const fn kind(body: &Body) -> &'static str {
     match body {
         Body::Heartbeat { .. } | Body::Availability(_) => "heartbeat",
+        Body::Evacuations { .. } => "evacuations",
         Body::Charge(_) | Body::Charged { .. } | Body::Credit { .. } => "charge",
         Body::Borrow { .. } | Body::Lend { .. } | Body::Repay { .. } => "loan",
         Body::Enqueue(_) | Body::Queued(_) | Body::Redirect { .. } => "enqueue",
--- a/crates/damaskhatch/src/relay/candidates.rs
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -24,6 +24,7 @@
     pub paused_until: Option<Instant>,
     leaving: Vec<&'a str>,
     paused: Vec<&'a str>,
+    evacuated: Vec<&'a str>,
 }
 
 impl<'a> Candidates<'a> {
@@ -34,13 +35,14 @@
         now: Instant,
     ) -> Self {
         let (mut available, mut discouraged) = (Vec::new(), Vec::new());
-        let (mut leaving, mut paused) = (Vec::new(), Vec::new());
+        let (mut leaving, mut paused, mut evacuated) = (Vec::new(), Vec::new(), Vec::new());
         let mut soonest: Option<Instant> = None;
         for entry in suitable {
-            match table.standing(entry.tag, entry.started_ms, now) {
+            match table.standing_in(entry.domain, entry.tag, entry.started_ms, now) {
                 Standing::Available => available.push(entry),
                 Standing::Discouraged => discouraged.push(entry),
                 Standing::Leaving => leaving.push(entry.instance.as_str()),
+                Standing::Evacuated => evacuated.push(entry.instance.as_str()),
                 Standing::Paused(until) => {
                     paused.push(entry.instance.as_str());
                     soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
@@ -49,15 +51,22 @@
         }
         let entries = if available.is_empty() { discouraged } else { available };
         let paused_until = soonest.filter(|_| entries.is_empty());
-        Self { entries, paused_until, leaving, paused }
+        Self { entries, paused_until, leaving, paused, evacuated }
+    }
+
+    /// Whether there would be upstreams to choose from if their domains were not evacuated.
+    pub const fn are_evacuated(&self) -> bool {
+        self.entries.is_empty() && self.paused_until.is_none() && !self.evacuated.is_empty()
     }
 
     /// Logs and counts which upstreams were left out of a choice.
     pub fn record(&self, entry: &Entry, label: impl fmt::Display) {
-        if self.leaving.is_empty() && self.paused.is_empty() {
+        let Self { leaving, paused, evacuated, entries, .. } = self;
+        let reasons = [(leaving, "leaving"), (paused, "paused"), (evacuated, "evacuated")];
+        if reasons.iter().all(|(names, _)| names.is_empty()) {
             return;
         }
-        for (names, reason) in [(&self.leaving, "leaving"), (&self.paused, "paused")] {
+        for (names, reason) in reasons {
             if !names.is_empty() {
                 entry.shared.metrics.left_out.with_label_values(&[reason]).inc();
             }
@@ -65,10 +74,11 @@
         entry.shared.journal.record(
             label,
             format_args!(
-                "event=left_out leaving={} paused={} remaining={}",
-                self.leaving.join(","),
-                self.paused.join(","),
-                self.entries.len()
+                "event=left_out leaving={} paused={} evacuated={} remaining={}",
+                leaving.join(","),
+                paused.join(","),
+                evacuated.join(","),
+                entries.len()
             ),
         );
     }
@@ -86,6 +96,16 @@
         Candidates::divide(suitable, &self.shared.availability.lock(), Instant::now())
     }
 
+    /// Whether this host may send a request to an upstream of the configuration now; one that the
+    /// configuration no longer lists counts as leaving.
+    pub fn standing(&self, upstream: Tag) -> Standing {
+        let snapshot = self.shared.snapshot();
+        let listed = snapshot.upstream(upstream).map(|listed| &snapshot.upstreams[listed]);
+        listed.map_or(Standing::Leaving, |listed| {
+            self.shared.availability.standing_of_configured(listed)
+        })
+    }
+
     /// Whether a request may be sent to an upstream that was chosen some time ago: it is still listed, and
     /// has neither begun to leave nor asked for a pause.
     pub fn may_ask(&self, upstream: &registry::Entry) -> bool {
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -196,13 +196,18 @@
     let mut is_first = true;
     loop {
         let loads = entry.known_loads();
-        let Choice { engines, paused_until } =
+        let Choice { engines, paused_until, are_evacuated } =
             decode_engines(entry, routed, &loads, progress, is_first);
         is_first = false;
         if let Some(until) = paused_until.filter(|until| *until >= give_up_at) {
             let wait = candidates::retry_after(until, Instant::now());
             return Err(Refusal::after(Kind::Overloaded, wait));
         }
+        if are_evacuated {
+            // The operator decides when they are used again, which no request can wait for.
+            entry.shared.journal.record(&routed.label, format_args!("event=all_evacuated"));
+            return Err(Refusal::after(Kind::Overloaded, retry_after()));
+        }
         if engines.is_empty() && !is_in_service(entry, routed, progress.version) {
             // Engines of other versions cannot go on with what this one began.
             entry.shared.journal.record(&routed.label, format_args!("event=no_engine_of_version"));
@@ -267,7 +272,9 @@
     let service = entry.shared.snapshot().services[routed.service].tag;
     let registry = entry.shared.upstreams();
     let availability = &entry.shared.availability;
-    let stays = |engine: &&registry::Entry| availability.standing_of(engine) != Standing::Leaving;
+    let stays = |engine: &&registry::Entry| {
+        !matches!(availability.standing_of(engine), Standing::Leaving | Standing::Evacuated)
+    };
     let mut staying = registry.usable(service).filter(stays);
     version.is_none_or(|version| staying.any(|own| own.software == version))
 }
@@ -284,6 +291,8 @@
     engines: Vec<registry::Entry>,
     /// When the first may be asked, if all have asked for a pause.
     paused_until: Option<Instant>,
+    /// Whether all are in evacuated domains.
+    are_evacuated: bool,
 }
 
 /// The usable decode engines, ranked by placement.
@@ -308,6 +317,7 @@
     if is_recorded {
         candidates.record(entry, &routed.label);
     }
+    let are_evacuated = candidates.are_evacuated();
     let Candidates { entries: usable, paused_until, .. } = candidates;
     let mut healthy: Vec<_> =
         usable.iter().copied().filter(|e| !outliers.is_ejected(e.tag, now)).collect();
@@ -322,7 +332,7 @@
     }
     let domain = entry.shared.domain;
     let ranked = placement::rank_decode(healthy.into_iter(), loads, domain, &mut rand::rng());
-    Choice { engines: ranked.into_iter().cloned().collect(), paused_until }
+    Choice { engines: ranked.into_iter().cloned().collect(), paused_until, are_evacuated }
 }
 
 /// Runs the prefill on a prefill engine; `None` leaves it to the decode engine.
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -113,6 +113,13 @@
         Arc::clone(&self.limits.borrow())
     }
 
+    /// The name of a domain, or its tag if the configuration does not list it.
+    pub fn domain_name(&self, domain: Tag) -> String {
+        let snapshot = self.snapshot();
+        let known = snapshot.domain(domain).map(|known| snapshot.domains[known].name.clone());
+        known.unwrap_or_else(|| domain.to_string())
+    }
+
     /// Whether rendezvous hashing makes this host one of the `count` owners of a role in its
     /// domain.
     pub fn is_owner(&self, role: &str, count: usize) -> bool {
--- a/crates/damaskhatch/src/upstream/statement.rs
+++ b/crates/damaskhatch/src/upstream/statement.rs
@@ -7,6 +7,7 @@
 
 use damaskhatch_exchange::{HeaderMap, StatusCode, header};
 use damaskhatch_policy::availability::{Standing, Statement, Table, Values};
+use damaskhatch_policy::config::UpstreamEntry;
 use damaskhatch_policy::limit::{Named, Seen};
 use damaskhatch_policy::registry;
 
@@ -29,12 +30,15 @@
 
     /// Whether this host may send a request to a registered upstream now.
     pub fn standing_of(&self, upstream: &registry::Entry) -> Standing {
-        self.standing(upstream.tag, upstream.started_ms)
+        let registry::Entry { domain, tag, started_ms, .. } = *upstream;
+        self.lock().standing_in(domain, tag, started_ms, Instant::now())
     }
 
-    /// Whether this host may send a request to a start of an upstream now.
-    pub fn standing(&self, upstream: Tag, started_ms: u64) -> Standing {
-        self.lock().standing(upstream, started_ms, Instant::now())
+    /// Whether this host may send a request to an upstream of the configuration now.
+    ///
+    /// The configuration does not say when an upstream has started.
+    pub fn standing_of_configured(&self, upstream: &UpstreamEntry) -> Standing {
+        self.lock().standing_in(upstream.domain, upstream.tag, 0, Instant::now())
     }
 }
 
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use crate::backlog::Report;
+use crate::evacuation;
 use crate::limit::Named;
 use crate::prelude::*;
 
@@ -132,6 +133,8 @@
     Paused(Instant),
     /// It may not, because the upstream is leaving.
     Leaving,
+    /// It may not, because an operator has evacuated the upstream's domain.
+    Evacuated,
 }
 
 impl Standing {
@@ -194,6 +197,8 @@
     untold: Vec<Tag>,
     /// The last malformed value of each upstream.
     malformed: HashMap<Tag, String>,
+    /// The domains to whose upstreams nothing new is sent, whatever they say.
+    pub evacuations: evacuation::Table,
 }
 
 /// What is new in a statement.
@@ -281,6 +286,20 @@
         }
     }
 
+    /// Whether this host may send a request to this start of an upstream, which runs in `domain`.
+    pub fn standing_in(
+        &self,
+        domain: Tag,
+        upstream: Tag,
+        started_ms: u64,
+        now: Instant,
+    ) -> Standing {
+        if self.evacuations.is_evacuated(domain) {
+            return Standing::Evacuated;
+        }
+        self.standing(upstream, started_ms, now)
+    }
+
     /// Records a malformed value; returns whether it differs from the upstream's last one.
     pub fn note_malformed(&mut self, upstream: Tag, value: &str) -> bool {
         let last = self.malformed.insert(upstream, value.to_owned());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod ending;
 pub mod error;
+pub mod evacuation;
 pub mod freshness;
 pub mod id;
 pub mod length;
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -263,5 +263,12 @@
         },
         /// Tells what upstreams have said about new requests.
         Availability(Vec<Notice>),
+        /// Tells which domains operators have evacuated.
+        Evacuations {
+            /// The version of the store that the set is from.
+            version: u64,
+            /// The evacuated domains.
+            domains: Vec<Tag>,
+        },
     }
 }
