Limit cold upstreams over all hosts

A service may say how many requests a second a cold engine bears, and an engine's entry how much longer it is cold; neither was read. An engine that came back with nothing to do got the requests of every host. The holder that grants the requests to an upstream with a limit now does so for a cold one: the lower of the two limits holds, a host that reaches no holder sends nothing, and the time left counts from when a host learns it. Hosts that follow another one's list get it apart from the entry, as the software version.

Not measured yet.

--- a/crates/damaskhatch/src/cli/report.rs
+++ b/crates/damaskhatch/src/cli/report.rs
@@ -25,8 +25,10 @@
         "{} at revision {}, {} requests in flight{draining}",
         status.name, status.revision, status.in_flight
     );
-    if !status.evacuated.is_empty() {
-        println!("evacuated: {}", status.evacuated.join(", "));
+    for (state, names) in [("evacuated", &status.evacuated), ("cold", &status.cold)] {
+        if !names.is_empty() {
+            println!("{state}: {}", names.join(", "));
+        }
     }
     println!("{:<20} {:<22} {:<8} {:>8} {:>6}", "DOMAIN", "ADDRESS", "STATE", "REVISION", "SLOTS");
     for host in &status.hosts {
--- a/crates/damaskhatch/src/control/configuration/archive.rs
+++ b/crates/damaskhatch/src/control/configuration/archive.rs
@@ -4,7 +4,7 @@
 
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::prelude::Instant;
-use damaskhatch_policy::registry::{Change, NO_VERSION, Registry};
+use damaskhatch_policy::registry::{Change, Detail, NO_VERSION, Registry};
 use damaskhatch_policy::strike::Ledger;
 use damaskhatch_wire::prelude::Body;
 
@@ -81,6 +81,13 @@
             let software = software.collect();
             Some(Body::Upstreams { version, is_partial, changes, software })
         }
+        Body::GetEntries { since } => {
+            let upstreams = Arc::clone(&archive.upstreams);
+            drop(archive);
+            let (version, is_partial, changes) = changes_since(&upstreams, since)?;
+            let details = changes.iter().map(|(_, change)| Detail::of(change)).collect();
+            Some(Body::Entries { version, is_partial, changes, details })
+        }
         Body::GetStrikes => {
             drop(archive);
             Some(Body::Strikes(ledger().reports(Instant::now())))
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -175,14 +175,14 @@
         let (codec, metrics) = (SharedCodec::clone(&self.codec), self.shared.metrics.clone());
         let since = self.shared.upstreams().version();
         let reply = async move {
-            let request = Body::GetUpstreams { since };
-            match query(own, from, &codec, &metrics, request).await {
-                // A host of an earlier version does not know the query, and closes the connection.
-                Err(_unknown) => {
-                    query(own, from, &codec, &metrics, Body::GetListing { since }).await
+            // A host of an earlier version does not know a query, and closes the connection.
+            let queries = [Body::GetEntries { since }, Body::GetUpstreams { since }];
+            for request in queries {
+                if let Ok(reply) = query(own, from, &codec, &metrics, request).await {
+                    return Ok(reply);
                 }
-                reply => reply,
             }
+            query(own, from, &codec, &metrics, Body::GetListing { since }).await
         };
         ctx.spawn(reply.into_actor(self).map(move |reply, actor, _ctx| {
             actor.pulls.remove(&from);
@@ -190,6 +190,13 @@
                 actor.misses += 1;
             }
             match reply {
+                Ok(Body::Entries { version, is_partial, mut changes, details }) => {
+                    for ((_, change), detail) in changes.iter_mut().zip(details) {
+                        detail.complete(change);
+                    }
+                    let since = is_partial.then_some(since);
+                    actor.listing.do_send(Offer { version, since, changes });
+                }
                 Ok(Body::Upstreams { version, is_partial, mut changes, software }) => {
                     for ((_, change), software) in changes.iter_mut().zip(software) {
                         if let Change::Listed(entry) = change {
--- a/crates/damaskhatch/src/control/limits/mod.rs
+++ b/crates/damaskhatch/src/control/limits/mod.rs
@@ -3,17 +3,20 @@
 //! For each limited upstream one live host of the fleet grants the requests of all hosts, one by
 //! one, by datagram. A host that gets no reply from it asks the one that stands in for it.
 
+mod cold;
 mod statements;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use damaskhatch_policy::limit::{self, Ask, Id, Pacer, Seen, Table, Verdict};
+use damaskhatch_policy::limit::{
+    self, Ask, COLD_SERIAL, Id, Pacer, Seen, Statement, Table, Verdict,
+};
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::{oneshot, watch};
 
-use crate::control::Incoming;
+use crate::control::{Incoming, on_change};
 use crate::peers::Arrival;
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -219,9 +222,17 @@
 
     /// Decides on an ask as the holder of its upstream.
     fn decide(&mut self, id: Id, ask: &Ask, now: Instant) -> Verdict {
-        self.merge(&[ask.statement]);
-        let upstream = ask.statement.upstream;
-        let Some(statement) = self.table.limit(upstream, ask.statement.started_ms) else {
+        let asked = ask.statement;
+        let is_cold = asked.serial == COLD_SERIAL;
+        if !is_cold {
+            self.merge(&[asked]);
+        }
+        let upstream = asked.upstream;
+        let known = self.table.effective(upstream, asked.started_ms, now);
+        // The list of upstreams may reach the host that asks before it reaches this one.
+        let told = known.into_iter().chain(is_cold.then_some(asked));
+        let rate = |statement: &Statement| statement.per_s.unwrap_or(f64::INFINITY);
+        let Some(statement) = told.min_by(|one, other| rate(one).total_cmp(&rate(other))) else {
             return Verdict::Granted;
         };
         match self.fraction(upstream, now) {
@@ -351,6 +362,8 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
+        on_change(self.shared.registry.clone(), ctx, |actor, _ctx| actor.observe_cold());
+        on_change(self.shared.config.clone(), ctx, |actor, _ctx| actor.observe_cold());
         ctx.run_interval(ANNOUNCE_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.announce());
         });
@@ -359,6 +372,7 @@
 
 impl Supervised for Limits {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
+        self.observe_cold();
         self.pacer = Pacer::default();
         self.waiters.clear();
         self.askers.clear();
--- a/crates/damaskhatch/src/control/limits/statements.rs
+++ b/crates/damaskhatch/src/control/limits/statements.rs
@@ -99,7 +99,7 @@
         )
     }
 
-    fn publish(&self) {
+    pub(super) fn publish(&self) {
         self.publish.send_replace(Arc::new(self.table.clone()));
     }
 
@@ -108,6 +108,7 @@
         if !self.has_asked {
             self.ask_peers();
         }
+        self.count_cold();
         if self.table.is_empty() {
             return;
         }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -243,6 +243,8 @@
             | Body::Listing { .. }
             | Body::GetUpstreams { .. }
             | Body::Upstreams { .. }
+            | Body::GetEntries { .. }
+            | Body::Entries { .. }
             | Body::GetHead
             | Body::GetStrikes
             | Body::Head { .. }
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -50,6 +50,8 @@
     pub statements: IntCounterVec,
     /// Choices for which upstreams were left out, by reason.
     pub left_out: IntCounterVec,
+    /// Upstreams that are cold, as this host knows.
+    pub cold_upstreams: IntGauge,
     /// Domains that operators have evacuated, as this host knows.
     pub evacuated_domains: IntGauge,
     /// Entries of upstreams that were left out because they are malformed.
@@ -130,6 +132,7 @@
                 &["kind"],
             ),
             left_out: counters(r, "left_out_total", "Choices without some upstreams.", &["reason"]),
+            cold_upstreams: gauge(r, "cold_upstreams", "Upstreams that are cold."),
             evacuated_domains: gauge(r, "evacuated_domains", "Evacuated domains."),
             left_out_entries: counter(r, "entries_left_out_total", "Malformed entries."),
             fallbacks: counter(r, "fallbacks_total", "Pairs chosen without a scheduler."),
--- a/crates/damaskhatch/src/operator.rs
+++ b/crates/damaskhatch/src/operator.rs
@@ -1,5 +1,7 @@
 //! The operators' HTTP interface, which the `damaskhatch` tool calls.
 
+use std::collections::HashSet;
+
 use actix_web::{HttpResponse, web};
 use damaskhatch_policy::config::Head;
 use damaskhatch_policy::position::Position;
@@ -49,6 +51,9 @@
     /// The names of the domains that operators have evacuated, as the host knows.
     #[serde(default)]
     pub evacuated: Vec<String>,
+    /// The names of the upstreams that are cold, as the host knows.
+    #[serde(default)]
+    pub cold: Vec<String>,
 }
 
 /// A host as seen by the host that responds.
@@ -161,6 +166,10 @@
 async fn status(operator: web::Data<Operator>) -> HttpResponse {
     let shared = &operator.shared;
     let (snapshot, view, now) = (shared.snapshot(), shared.hosts(), Instant::now());
+    let (limits, registry) = (shared.known_limits(), shared.upstreams());
+    let is_cold: HashSet<Tag> = limits.cold.cold(now).collect();
+    let cold = registry.entries().filter(|(_, entry)| is_cold.contains(&entry.tag));
+    let cold = cold.map(|(_, entry)| entry.instance.clone()).collect();
     let evacuated: Vec<Tag> = shared.availability.lock().evacuations.domains().collect();
     let others = view.members().map(|member| (&member.record, member.is_alive(now)));
     let all = std::iter::once((&view.own, true)).chain(others);
@@ -190,6 +199,7 @@
             .map(|(_, domain)| domain.name.clone())
             .collect(),
         evacuated: evacuated.into_iter().map(|domain| shared.domain_name(domain)).collect(),
+        cold,
     })
 }
 
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -311,7 +311,9 @@
         | Body::GetListing { .. }
         | Body::Listing { .. }
         | Body::GetUpstreams { .. }
-        | Body::Upstreams { .. } => "config",
+        | Body::Upstreams { .. }
+        | Body::GetEntries { .. }
+        | Body::Entries { .. } => "config",
         Body::Begun(_) | Body::FindStream { .. } | Body::StreamFound { .. } => "lineage",
         Body::GetFreshness { .. } | Body::Freshness { .. } => "news",
         Body::Limits(_) | Body::GetLimits | Body::Ask { .. } | Body::Permit { .. } => "limit",
--- a/crates/damaskhatch/src/relay/permit.rs
+++ b/crates/damaskhatch/src/relay/permit.rs
@@ -72,7 +72,7 @@
     (upstream, started_ms): (Tag, u64),
     terms: Terms,
 ) -> Result<Permit, Duration> {
-    let limit = entry.shared.known_limits().limit(upstream, started_ms);
+    let limit = entry.shared.known_limits().effective(upstream, started_ms, Instant::now());
     match limit {
         None => Ok(Permit::unlimited()),
         Some(statement) => ask(entry, statement, terms).await,
--- a/crates/policy/src/config/snapshot.rs
+++ b/crates/policy/src/config/snapshot.rs
@@ -4,7 +4,7 @@
 
 use crate::prelude::*;
 use crate::routing::Table;
-use crate::sheet::{self, EngineTerms, Role, Row};
+use crate::sheet::{self, EngineTerms, Role, Row, Warming};
 
 /// A failure domain.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,6 +55,8 @@
     pub upstreams: Vec<Upstream>,
     /// The capacities and times of its engines; `None` unless the configuration states it.
     pub engines: Option<EngineTerms>,
+    /// How much its upstreams bear while they are cold; `None` if that makes no difference.
+    pub warming: Option<Warming>,
 }
 
 /// An upstream; one that left the sheet keeps its index but belongs to no service.
@@ -216,7 +218,7 @@
                 };
                 upsert(&mut self.names.teams, &mut self.teams, tag, entry);
             }
-            Row::Service { name, kind, open, repeatable } => {
+            Row::Service { name, kind, open, repeatable, warming } => {
                 let tag = Tag::of(name);
                 let entry = ServiceEntry {
                     name: name.clone(),
@@ -226,6 +228,7 @@
                     repeatable: *repeatable,
                     upstreams: Vec::new(),
                     engines: None,
+                    warming: *warming,
                 };
                 upsert(&mut self.names.services, &mut self.services, tag, entry);
             }
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -6,11 +6,12 @@
 //! that no part of a limit is left where nobody asks for it; see
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#limits-of-upstreams).
 
+pub mod cold;
 pub mod pacer;
 pub mod table;
 
 pub use pacer::{Ask, Id, Pacer, Verdict};
-pub use table::{Named, Seen, Statement, Table};
+pub use table::{COLD_SERIAL, Named, Seen, Statement, Table};
 
 use crate::prelude::*;
 use crate::rendezvous;
--- a/crates/policy/src/limit/table.rs
+++ b/crates/policy/src/limit/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::cold;
 use crate::prelude::*;
 
 /// The highest limit that is believed, in requests a second.
@@ -87,8 +88,16 @@
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     known: HashMap<Tag, Known>,
+    /// The upstreams that are limited because they are cold.
+    pub cold: cold::Table,
 }
 
+/// The number of a statement that no response has made: its upstream is cold.
+///
+/// Those that responses make are numbered from 1, so each of them replaces it on hosts that do not know
+/// its meaning.
+pub const COLD_SERIAL: u32 = 0;
+
 impl Table {
     /// The statement in force about a start of an upstream, if it names a limit.
     pub fn limit(&self, upstream: Tag, started_ms: u64) -> Option<Statement> {
@@ -96,6 +105,17 @@
         (statement.per_s.is_some() && statement.started_ms >= started_ms).then_some(statement)
     }
 
+    /// The limit in force for a start of an upstream: the one that it names, or that of a cold upstream if
+    /// that is lower.
+    pub fn effective(&self, upstream: Tag, started_ms: u64, now: Instant) -> Option<Statement> {
+        let named = self.limit(upstream, started_ms);
+        let Some(rate) = self.cold.rate(upstream, now) else { return named };
+        if named.and_then(|named| named.per_s).is_some_and(|per_s| per_s <= rate) {
+            return named;
+        }
+        Some(Statement { upstream, started_ms, serial: COLD_SERIAL, per_s: Some(rate) })
+    }
+
     /// All statements, including those by which a limit was lifted.
     pub fn statements(&self) -> impl Iterator<Item = Statement> {
         self.known.values().map(|known| known.statement)
--- a/crates/policy/src/registry.rs
+++ b/crates/policy/src/registry.rs
@@ -43,6 +43,37 @@
         /// Hosts send it to each other apart from the entry, because earlier ones do not expect it.
         #[serde(skip, default = "no_version")]
         pub software: Tag,
+        /// How much longer it was cold when it wrote the entry; hosts send it apart like the version.
+        #[serde(skip)]
+        pub cold_left: Duration,
+    }
+}
+
+plain! { value
+    /// What hosts send to each other apart from an entry.
+    pub struct Detail {
+        /// See [`Entry::software`].
+        pub software: Tag,
+        /// See [`Entry::cold_left`].
+        pub cold_left: Duration,
+    }
+}
+
+impl Detail {
+    /// The detail of a change; that of a removal says nothing.
+    pub const fn of(change: &Change) -> Self {
+        match change {
+            Change::Listed(entry) => Self { software: entry.software, cold_left: entry.cold_left },
+            Change::Removed => Self { software: NO_VERSION, cold_left: Duration::ZERO },
+        }
+    }
+
+    /// Completes the entry of a change.
+    pub const fn complete(&self, change: &mut Change) {
+        if let Change::Listed(entry) = change {
+            entry.software = self.software;
+            entry.cold_left = self.cold_left;
+        }
     }
 }
 
--- a/crates/policy/src/sheet/mod.rs
+++ b/crates/policy/src/sheet/mod.rs
@@ -9,7 +9,7 @@
 
 pub mod row;
 
-pub use row::{EngineTerms, Kind, Role, Row};
+pub use row::{EngineTerms, Kind, Role, Row, Warming};
 
 /// The columns that a sheet may have, in any order.
 pub const COLUMNS: [&str; 12] = [
@@ -293,6 +293,7 @@
             },
             open: cells.flag("open")?,
             repeatable: cells.flag("repeatable")?,
+            warming: None,
         }),
         "upstream" => parse_upstream(cells),
         "grant" => Ok(Row::Grant { team: cells.name("name")?, service: cells.name("service")? }),
--- a/crates/policy/src/sheet/row.rs
+++ b/crates/policy/src/sheet/row.rs
@@ -50,6 +50,16 @@
     }
 }
 
+plain! { value
+    /// How much a service's upstreams bear while they are cold.
+    pub struct Warming {
+        /// How long an upstream is cold after its start, in milliseconds.
+        pub duration_ms: u32,
+        /// The requests a second that a cold one takes from all hosts together.
+        pub per_s: f64,
+    }
+}
+
 plain! { data
     /// One row of a configuration.
     pub enum Row {
@@ -79,6 +89,9 @@
             open: bool,
             /// Whether a request may run more than once.
             repeatable: bool,
+            /// How much its upstreams bear while they are cold; `None` if that makes no difference.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            warming: Option<Warming>,
         },
         /// An engine or a plain back end.
         Upstream {
--- a/crates/policy/tests/lineage.rs
+++ b/crates/policy/tests/lineage.rs
@@ -23,6 +23,7 @@
         role: Some(Role::Decode),
         started_ms: 0,
         software: version,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/policy/tests/registry.rs
+++ b/crates/policy/tests/registry.rs
@@ -20,6 +20,7 @@
         role: None,
         started_ms: 0,
         software: NO_VERSION,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -232,6 +232,7 @@
         role: Some(role),
         started_ms: 0,
         software: NO_VERSION,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/policy/tests/strikes.rs
+++ b/crates/policy/tests/strikes.rs
@@ -205,6 +205,7 @@
         role: None,
         started_ms,
         software: NO_VERSION,
+        cold_left: Duration::ZERO,
     };
     (instance.to_owned(), entry)
 }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -8,7 +8,7 @@
 use damaskhatch_policy::membership::{Count, Record};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::quota::{Charge, Loan, Purpose, Verdict};
-use damaskhatch_policy::registry::Change;
+use damaskhatch_policy::registry::{Change, Detail};
 use damaskhatch_policy::route::Pair;
 use damaskhatch_policy::schedule::message::{Claim, Demand, Release};
 use damaskhatch_policy::strike::Report;
@@ -270,5 +270,21 @@
             /// The evacuated domains.
             domains: Vec<Tag>,
         },
+        /// Asks for changes to the list of registered upstreams, with their details; TCP only.
+        GetEntries {
+            /// The version of the sender's list; 0 if it has none.
+            since: u64,
+        },
+        /// Replies to [`Body::GetEntries`] as [`Body::Listing`] does; TCP only.
+        Entries {
+            /// The version of the list after these changes.
+            version: u64,
+            /// Whether `changes` starts at the requested version, or else is the complete list.
+            is_partial: bool,
+            /// Each key with its change, in the order in which to apply them.
+            changes: Vec<(String, Change)>,
+            /// The detail of each change.
+            details: Vec<Detail>,
+        },
     }
 }
