Hear loads of four figures, and place work by how fast upstreams work

A load with a fourth figure, how long work takes on the upstream's machine, was dropped as a whole, so that nothing was known of its queue either. The first three figures count now whatever follows them. The fourth, and where there is none the time that a unit of work has taken compared with the others, scale the cost by which prefill engines and plain upstreams are ranked. Work at upstreams of one speed is ranked as before.

--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::watch;
 
-use crate::control::{Incoming, evacuation, on_change, on_restore};
+use crate::control::{Incoming, evacuation, on_change, on_restore, speeds};
 use crate::shared::Shared;
 use crate::supervise::guard;
 
@@ -93,6 +93,7 @@
         own.leaving_upstreams.clone_from(&self.reported_leaving);
         own.leaving_upstreams.extend(&self.listed_leaving);
         let heartbeat = self.view.next_heartbeat(&mut self.rng, now);
+        speeds::tell(&self.shared, &self.view, now);
         let notices = self.notices(now);
         let evacuations = evacuation::statement(&self.shared);
         for to in heartbeat.to {
@@ -283,6 +284,7 @@
                 actor.publish();
             }
             Body::Availability(notices) => actor.merge_notices(notices),
+            Body::Speeds(notices) => speeds::merge(&actor.shared, notices),
             Body::Evacuations { version, domains } => {
                 evacuation::merge(&actor.shared, domains, *version);
             }
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -15,6 +15,7 @@
 pub mod quota;
 pub mod roster;
 pub mod scheduling;
+pub mod speeds;
 pub mod stages;
 pub mod strikes;
 pub mod supervisor;
@@ -200,7 +201,10 @@
     /// Sends a message to the actor that handles its kind.
     pub fn deliver(&self, arrival: Arrival) {
         match &arrival.body {
-            Body::Heartbeat { .. } | Body::Availability(_) | Body::Evacuations { .. } => {
+            Body::Heartbeat { .. }
+            | Body::Availability(_)
+            | Body::Evacuations { .. }
+            | Body::Speeds(_) => {
                 self.membership.do_send(Incoming(arrival));
             }
             Body::Charge(_)
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -42,7 +42,7 @@
 use crate::signals::{Event, Signals};
 use crate::stop::{self, Stop};
 use crate::supervise::spawn_lasting;
-use crate::upstream::statement::Availability;
+use crate::upstream::statement::{Availability, Speeds};
 
 /// The time between the end of the last requests and the end of a draining host, in which the responses are
 /// sent.
@@ -101,6 +101,7 @@
         strikes: strikes_seen,
         limits: limits_seen,
         availability: Availability::default(),
+        speeds: Speeds::default(),
         memory: Budgets::new(settings.limits.memory_mb),
         pool: Pool::default(),
         loads: Loads::default(),
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -293,6 +293,7 @@
     match body {
         Body::Heartbeat { .. } | Body::Availability(_) => "heartbeat",
         Body::Evacuations { .. } => "evacuations",
+        Body::Speeds(_) => "speeds",
         Body::Charge(_) | Body::Charged { .. } | Body::Credit { .. } => "charge",
         Body::Borrow { .. } | Body::Lend { .. } | Body::Repay { .. } => "loan",
         Body::Enqueue(_) | Body::Queued(_) | Body::Redirect { .. } => "enqueue",
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -143,16 +143,21 @@
     let (response, statement) =
         send(entry, routed, attempt.upstream, permit, connection_for(routed), &[]).await?;
     if response.head.status.is_success() {
-        observe_load(entry, routed, &statement, attempt.sent_at);
+        observe_load(entry, routed, &statement, attempt);
     }
     read_complete(entry, routed, attempt, response, MAX_RESPONSE_BYTES).await
 }
 
 /// Updates the service's backlog with the load that an upstream reports in a response.
-fn observe_load(entry: &Entry, routed: &Routed, statement: &Statement, sent: Instant) {
+fn observe_load(entry: &Entry, routed: &Routed, statement: &Statement, attempt: Attempt<'_>) {
     if let Some(load) = statement.load {
         let now = Instant::now();
-        let took = now.saturating_duration_since(sent);
+        let took = now.saturating_duration_since(attempt.sent_at);
+        if statement.slowness.is_none() {
+            let run = (attempt.upstream.tag, attempt.upstream.started_ms);
+            let units = 1.0 + f64::from(load.waiting) / f64::from(load.slots);
+            entry.shared.speeds.lock().observe(run, units, took, now);
+        }
         entry.with_learned(routed.service, |learned| learned.backlog.observe(load, took, now));
     }
 }
@@ -196,7 +201,8 @@
     // An ejected upstream may still respond, so trying it is better than a refusal.
     let pool = if healthy.is_empty() { usable } else { healthy };
     let (loads, domain) = (entry.known_loads(), entry.shared.domain);
-    placement::rank_plain(pool.into_iter(), &loads, domain, &mut rand::rng())
+    let slowness = entry.shared.speeds.lock().slowness(pool.iter().map(|e| e.tag), now);
+    placement::rank_plain(pool.into_iter(), (&loads, &slowness), domain, &mut rand::rng())
 }
 
 /// Logs the chosen upstream.
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -344,6 +344,7 @@
     let registry = entry.shared.upstreams();
     let service = entry.shared.snapshot().services[routed.service].tag;
     let phase = entry.shared.deployment.dialect.prefill_phase.to_owned();
+    let prompt = routed.tokens.unwrap_or_default().prompt + progress.tokens_done;
     for _ in 0..MAX_PREFILL_ATTEMPTS {
         // The first of two engines may have crashed under the request.
         check_admission(entry, routed, progress.history)?;
@@ -360,8 +361,11 @@
             drop(outliers);
             candidates.record(entry, &routed.label);
             let (loads, domain) = (entry.known_loads(), entry.shared.domain);
+            let tags = candidates.entries.iter().map(|engine| engine.tag);
+            let slowness = entry.shared.speeds.lock().slowness(tags, now);
             let usable = candidates.entries.into_iter();
-            placement::rank_prefill(usable, &loads, domain, &mut rand::rng())
+            let rng = &mut rand::rng();
+            placement::rank_prefill(usable, (&loads, &slowness), prompt, domain, rng)
         };
         let limits = Terms::of(entry, routed, now);
         let Ok((engine, permit)) = permit::choose_now(entry, &ranked, limits).await else {
@@ -374,11 +378,16 @@
         {
             return Ok(None);
         }
-        let prompt = routed.tokens.unwrap_or_default().prompt + progress.tokens_done;
+        let ahead = entry.known_loads().get(&engine.tag).map_or(0, |load| load.prefill_tokens);
         let load = Load { prefill_tokens: prompt, ..Load::default() };
         let _guard = entry.shared.loads.track(engine.tag, load);
+        let sent_at = Instant::now();
         match request_export(entry, routed, (&engine, permit), &phase).await {
-            Ok(export) => return Ok(Some(export)),
+            Ok(export) => {
+                let (run, units) = ((engine.tag, engine.started_ms), f64::from(ahead + prompt));
+                entry.shared.speeds.lock().observe(run, units, sent_at.elapsed(), Instant::now());
+                return Ok(Some(export));
+            }
             Err(mut failure) => {
                 // An engine that declines prefills, being full or changing its role, goes on to do so
                 // for a while, and each further one makes the request reach one engine more.
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -27,7 +27,7 @@
 use crate::relay::load::Loads;
 use crate::settings::Settings;
 use crate::stop::Stop;
-use crate::upstream::statement::Availability;
+use crate::upstream::statement::{Availability, Speeds};
 
 /// The shared state and handles of a host, cloned into every actor and worker thread.
 #[derive(Debug, Clone)]
@@ -66,6 +66,8 @@
     pub limits: watch::Receiver<Arc<limit::Table>>,
     /// What upstreams have said of themselves about new requests.
     pub availability: Availability,
+    /// How fast upstreams work.
+    pub speeds: Speeds,
     /// The memory for bodies.
     pub memory: Budgets,
     /// Connections to upstreams that are kept for requests which may be repeated.
--- a/crates/damaskhatch/src/upstream/statement.rs
+++ b/crates/damaskhatch/src/upstream/statement.rs
@@ -9,7 +9,7 @@
 use damaskhatch_policy::availability::{Standing, Statement, Table, Values};
 use damaskhatch_policy::config::UpstreamEntry;
 use damaskhatch_policy::limit::{Named, Seen};
-use damaskhatch_policy::registry;
+use damaskhatch_policy::{registry, speed};
 
 use crate::control::limits::{Limits, Observe};
 use crate::prelude::*;
@@ -42,6 +42,17 @@
     }
 }
 
+/// How fast upstreams work, shared by the threads of a host.
+#[derive(Debug, Clone, Default)]
+pub struct Speeds(Arc<Mutex<speed::Table>>);
+
+impl Speeds {
+    /// Locks the table.
+    pub fn lock(&self) -> MutexGuard<'_, speed::Table> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// One run of an upstream, between a start of its process and its end.
 #[derive(Debug, Clone, Copy)]
 pub struct Run<'a> {
@@ -89,6 +100,9 @@
         let seen = Seen { upstream: tag, started_ms, sent_at, named };
         limits.do_send(Observe { seen, name: name.to_owned() });
     }
+    if let Some(slowness) = statement.slowness {
+        shared.speeds.lock().state(tag, started_ms, slowness, Instant::now());
+    }
     let news =
         shared.availability.lock().observe((tag, started_ms), &statement, sent_at, Instant::now());
     let count = |kind| shared.metrics.statements.with_label_values(&[kind]).inc();
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -10,6 +10,7 @@
 use crate::evacuation;
 use crate::limit::Named;
 use crate::prelude::*;
+use crate::speed;
 
 /// The longest pause that one response can ask for; a longer one counts as this long.
 ///
@@ -44,6 +45,8 @@
 pub struct Statement {
     /// The upstream's load.
     pub load: Option<Report>,
+    /// How much longer work takes at the upstream now than usual.
+    pub slowness: Option<f64>,
     /// The limit that the upstream names.
     pub limit: Named,
     /// Whether the upstream is leaving.
@@ -86,7 +89,15 @@
                 }
             }
         }
+        let mut slowness = None;
+        if let Some(figure) = values.load.first().and_then(|load| load.split(',').nth(3)) {
+            slowness = speed::parse(figure);
+            if slowness.is_none() {
+                reject(figure.trim());
+            }
+        }
         Self {
+            slowness,
             load: values.load.first().and_then(|load| Report::parse(load)),
             limit: Named::parse(values.limit.iter().copied()),
             is_leaving,
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -38,12 +38,14 @@
 }
 
 impl Report {
-    /// Parses `RUNNING,WAITING,SLOTS`; returns `None` for any other text and for 0 slots.
+    /// Parses `RUNNING,WAITING,SLOTS`; returns `None` for any other beginning and for 0 slots.
+    ///
+    /// Further figures do not count here, so that one that is odd does not hide the load.
     pub fn parse(text: &str) -> Option<Self> {
         let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
         let report =
             Self { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? };
-        (numbers.next().is_none() && report.slots > 0).then_some(report)
+        (report.slots > 0).then_some(report)
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod schedule;
 pub mod sheet;
 pub mod silence;
+pub mod speed;
 pub mod stages;
 pub mod strike;
 pub mod suspect;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,6 +16,7 @@
 
 use crate::prelude::*;
 use crate::registry::Entry;
+use crate::speed;
 
 plain! { value
     /// Work in progress at an upstream.
@@ -54,13 +55,25 @@
 /// The load of each upstream as one host knows it; an absent upstream has none.
 pub type Loads = HashMap<Tag, Load>;
 
+/// How much longer work takes at upstreams than usual; an absent one works as fast as usual.
+pub type Slowness = HashMap<Tag, f64>;
+
+/// The cost of work of which `queued` is known and `own` is added, at an upstream of this slowness.
+///
+/// At an upstream that works as fast as usual it is the known work alone: what is added is the same
+/// wherever it goes.
+fn scale(queued: u64, own: u64, slowness: f64) -> i64 {
+    let added = own as f64 * (slowness - speed::USUAL);
+    (queued as f64 * slowness + added) as i64
+}
+
 /// Orders upstreams by ascending `cost` of their load.
 fn rank_by_load<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
     loads: &Loads,
     domain: Tag,
     rng: &mut impl rand::Rng,
-    cost: impl Fn(&Load, &Entry) -> u64,
+    cost: impl Fn(&Load, &Entry) -> i64,
 ) -> Vec<&'a Entry> {
     let mut ranked: Vec<_> = candidates
         .map(|entry| {
@@ -94,7 +107,7 @@
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
-    rank_by_load(candidates, loads, domain, rng, |load, _| u64::from(load.memory_tokens))
+    rank_by_load(candidates, loads, domain, rng, |load, _| i64::from(load.memory_tokens))
 }
 
 /// The number of engines from which to request a reservation of `memory` tokens in one round.
@@ -115,27 +128,34 @@
     ranked.iter().take(max).filter(has_room).count().max(1)
 }
 
-/// Ranks prefill engines by queued prompt tokens, the better of two drawn at random first.
+/// Ranks prefill engines by the time that their queued prompt tokens and a prompt of `prompt` tokens
+/// take, the better of two drawn at random first.
 pub fn rank_prefill<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
-    loads: &Loads,
+    (loads, slowness): (&Loads, &Slowness),
+    prompt: u32,
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
-    let ranked =
-        rank_by_load(candidates, loads, domain, rng, |load, _| u64::from(load.prefill_tokens));
+    let ranked = rank_by_load(candidates, loads, domain, rng, |load, entry| {
+        let slowness = slowness.get(&entry.tag).copied().unwrap_or(speed::USUAL);
+        scale(u64::from(load.prefill_tokens), u64::from(prompt), slowness)
+    });
     promote_better_of_two(ranked, rng)
 }
 
-/// Ranks plain upstreams by requests per slot, the better of two drawn at random first.
+/// Ranks plain upstreams by the time that their requests take per slot, the better of two drawn at
+/// random first.
 pub fn rank_plain<'a>(
     candidates: impl Iterator<Item = &'a Entry>,
-    loads: &Loads,
+    (loads, slowness): (&Loads, &Slowness),
     domain: Tag,
     rng: &mut impl rand::Rng,
 ) -> Vec<&'a Entry> {
     let ranked = rank_by_load(candidates, loads, domain, rng, |load, entry| {
-        u64::from(load.requests) * 1_000 / u64::from(entry.slots.max(1))
+        let per_slot = |requests: u32| u64::from(requests) * 1_000 / u64::from(entry.slots.max(1));
+        let slowness = slowness.get(&entry.tag).copied().unwrap_or(speed::USUAL);
+        scale(per_slot(load.requests), per_slot(1), slowness)
     });
     promote_better_of_two(ranked, rng)
 }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -11,6 +11,7 @@
 use damaskhatch_policy::registry::{Change, Detail};
 use damaskhatch_policy::route::Pair;
 use damaskhatch_policy::schedule::message::{Claim, Demand, Release};
+use damaskhatch_policy::speed;
 use damaskhatch_policy::strike::Report;
 
 plain! { data
@@ -286,5 +287,7 @@
             /// The detail of each change.
             details: Vec<Detail>,
         },
+        /// Tells how fast upstreams work.
+        Speeds(Vec<speed::Notice>),
     }
 }
