Bound the samples of speeds that a host sends a second

At the two-year size a host would send 50 KB a second of them to its domain, more than twice the budget of all control. Now 120 samples a second go to as many hosts as that suffices for.

--- a/crates/damaskhatch/src/control/speeds.rs
+++ b/crates/damaskhatch/src/control/speeds.rs
@@ -4,15 +4,21 @@
 //! Samples of the time that work takes are told to the hosts of the domain from time to time. See
 //! [docs/design/uneven-load.md](../../../../docs/design/uneven-load.md).
 
+use std::net::SocketAddr;
+
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::speed::Notice;
 use damaskhatch_wire::prelude::Body;
+use rand::seq::IteratorRandom;
 
 use crate::prelude::*;
 use crate::shared::Shared;
 
 /// The number of heartbeats of which one also tells samples.
 const SAMPLES_PERIOD: u64 = 5;
+/// The most samples of upstreams that are sent at a time, over all hosts that get them; some hosts of a
+/// large domain get none.
+const MAX_SAMPLES: usize = 120;
 /// The number of notices in a datagram, of up to 30 bytes each.
 const NOTICES_PER_DATAGRAM: usize = 40;
 
@@ -24,15 +30,23 @@
         speeds.forget_old(now);
         speeds.take_untold(has_samples)
     };
+    if untold.is_empty() {
+        return;
+    }
     let (news, samples): (Vec<Notice>, Vec<Notice>) =
         untold.into_iter().partition(|notice| notice.stated.is_some());
-    for (notices, is_near) in [(news, false), (samples, true)] {
-        for notices in notices.chunks(NOTICES_PER_DATAGRAM) {
-            let alive = view.members().filter(|member| member.is_alive(now));
-            for member in alive.filter(|m| !is_near || m.record.domain == shared.domain) {
-                shared.outbox.send(member.record.address, Body::Speeds(notices.to_vec()));
-            }
-        }
+    let alive = || view.members().filter(|member| member.is_alive(now));
+    alive().for_each(|member| send(shared, member.record.address, &news));
+    let near = alive().filter(|member| member.record.domain == shared.domain);
+    let recipients = MAX_SAMPLES / samples.len().max(1);
+    for member in near.sample(&mut rand::rng(), recipients.max(1)) {
+        send(shared, member.record.address, &samples);
+    }
+}
+
+fn send(shared: &Shared, to: SocketAddr, notices: &[Notice]) {
+    for notices in notices.chunks(NOTICES_PER_DATAGRAM) {
+        shared.outbox.send(to, Body::Speeds(notices.to_vec()));
     }
 }
 
