--- a/crates/damaskhatch/src/control/evacuation.rs
+++ b/crates/damaskhatch/src/control/evacuation.rs
@@ -35,7 +35,7 @@
 
 /// Takes into account the set that another host knows.
 pub fn merge(shared: &Shared, domains: &[Tag], version: u64) {
-    let news = shared.availability.lock().evacuations.replace(domains.iter().copied(), version);
+    let news = shared.availability.lock().evacuations.merge(domains.iter().copied(), version);
     record(shared, &news, version, "peer");
 }
 
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -16,10 +16,10 @@
 use tokio::sync::watch;
 
 use crate::clock::boot_time;
-use crate::control::Incoming;
 use crate::control::configuration::{Configuration, Pull};
 use crate::control::listing::{Listing, Offer};
 use crate::control::membership::{READER_ROLE, READERS_PER_DOMAIN};
+use crate::control::{Incoming, evacuation};
 use crate::peers::{Arrival, SharedCodec, query};
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -136,6 +136,10 @@
                 let Some(age) = self.shared.config_age() else { return };
                 let revision = self.shared.snapshot().revision;
                 let listing = self.shared.upstreams().version();
+                // Before the confirmation, so that a host which takes itself for up to date knows it.
+                if let Some(evacuations) = evacuation::statement(&self.shared) {
+                    self.shared.outbox.send(arrival.source, evacuations);
+                }
                 let body = Body::Freshness { serial, revision, age, listing };
                 self.shared.outbox.send(arrival.source, body);
             }
--- a/crates/damaskhatch/src/control/limits/mod.rs
+++ b/crates/damaskhatch/src/control/limits/mod.rs
@@ -149,19 +149,6 @@
         limit::holders(upstream, self.shared.hosts().all_eligible(now))
     }
 
-    /// The part of an upstream's limit that this host may grant; `None` if it is not a holder.
-    fn fraction(&self, upstream: Tag, now: Instant) -> Option<f64> {
-        let live = self.shared.hosts().live_domains(now);
-        let snapshot = self.shared.snapshot();
-        let (mut reachable, mut all) = (0.0, 0.0);
-        for (_, domain) in snapshot.domains.iter() {
-            all += domain.share;
-            reachable += if live.contains(&domain.tag) { domain.share } else { 0.0 };
-        }
-        let reachable = if all > 0.0 { reachable / all } else { 1.0 };
-        limit::fraction(self.shared.host, &self.holders(upstream, now), reachable)
-    }
-
     fn acquire(&mut self, acquire: Acquire, ctx: &mut Context<Self>) {
         let now = Instant::now();
         let Acquire { ask, reply } = acquire;
@@ -228,8 +215,8 @@
             self.merge(&[asked]);
         }
         let upstream = asked.upstream;
-        let known = self.table.effective(upstream, asked.started_ms, now);
         // The list of upstreams may reach the host that asks before it reaches this one.
+        let known = self.table.effective(upstream, asked.started_ms, now);
         let told = known.into_iter().chain(is_cold.then_some(asked));
         let rate = |statement: &Statement| statement.per_s.unwrap_or(f64::INFINITY);
         let Some(statement) = told.min_by(|one, other| rate(one).total_cmp(&rate(other))) else {
--- a/crates/damaskhatch/src/control/limits/statements.rs
+++ b/crates/damaskhatch/src/control/limits/statements.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use damaskhatch_policy::limit::{Named, Statement};
+use damaskhatch_policy::limit::{COLD_SERIAL, Named, Statement};
 use damaskhatch_wire::prelude::Body;
 use rand::seq::IteratorRandom;
 
@@ -40,7 +40,8 @@
     pub(super) fn merge(&mut self, statements: &[Statement]) {
         let now = Instant::now();
         let mut has_changed = false;
-        for statement in statements {
+        // A holder of an earlier version tells an ask for a cold upstream on as if it were a named limit.
+        for statement in statements.iter().filter(|statement| statement.serial != COLD_SERIAL) {
             if self.table.merge(statement, now) {
                 has_changed = true;
                 self.apply(statement, "peer");
@@ -77,7 +78,7 @@
     }
 
     /// Forgets what is kept for an upstream that has ended.
-    fn forget(&mut self, upstream: Tag) {
+    pub(super) fn forget(&mut self, upstream: Tag) {
         let name = self.name(upstream);
         self.forget_metric(&name);
         for label in [PERMITTED, HELD_BACK] {
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -93,7 +93,7 @@
         own.leaving_upstreams.clone_from(&self.reported_leaving);
         own.leaving_upstreams.extend(&self.listed_leaving);
         let heartbeat = self.view.next_heartbeat(&mut self.rng, now);
-        speeds::tell(&self.shared, &self.view, now);
+        speeds::tell(&self.shared, &self.view, &heartbeat.to, now);
         let notices = self.notices(now);
         let evacuations = evacuation::statement(&self.shared);
         for to in heartbeat.to {
--- a/crates/damaskhatch/src/control/speeds.rs
+++ b/crates/damaskhatch/src/control/speeds.rs
@@ -1,6 +1,6 @@
 //! Exchanges how fast upstreams work with other hosts.
 //!
-//! What an upstream states holds for a moment, so it is told to all live hosts at once if it is news.
+//! What an upstream states holds for a moment, so news of it go with the next heartbeat, to as many hosts.
 //! Samples of the time that work takes are told to the hosts of the domain from time to time. See
 //! [docs/design/uneven-load.md](../../../../docs/design/uneven-load.md).
 
@@ -22,8 +22,8 @@
 /// The number of notices in a datagram, of up to 30 bytes each.
 const NOTICES_PER_DATAGRAM: usize = 40;
 
-/// Tells other hosts what they have not been told, with a heartbeat of this host.
-pub fn tell(shared: &Shared, view: &View, now: Instant) {
+/// Tells other hosts what they have not been told, with a heartbeat of this host to `heard`.
+pub fn tell(shared: &Shared, view: &View, heard: &[SocketAddr], now: Instant) {
     let has_samples = view.own.count.is_multiple_of(SAMPLES_PERIOD);
     let untold = {
         let mut speeds = shared.speeds.lock();
@@ -35,9 +35,9 @@
     }
     let (news, samples): (Vec<Notice>, Vec<Notice>) =
         untold.into_iter().partition(|notice| notice.stated.is_some());
-    let alive = || view.members().filter(|member| member.is_alive(now));
-    alive().for_each(|member| send(shared, member.record.address, &news));
-    let near = alive().filter(|member| member.record.domain == shared.domain);
+    heard.iter().for_each(|to| send(shared, *to, &news));
+    let alive = view.members().filter(|member| member.is_alive(now));
+    let near = alive.filter(|member| member.record.domain == shared.domain);
     let recipients = MAX_SAMPLES / samples.len().max(1);
     for member in near.sample(&mut rand::rng(), recipients.max(1)) {
         send(shared, member.record.address, &samples);
--- a/crates/damaskhatch/src/relay/candidates.rs
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -96,12 +96,12 @@
         Candidates::divide(suitable, &self.shared.availability.lock(), Instant::now())
     }
 
-    /// Whether this host may send a request to an upstream of the configuration now; one that the
-    /// configuration no longer lists counts as leaving.
+    /// Whether this host may send a request to an upstream of the configuration now; nothing is known against
+    /// one that the configuration no longer lists.
     pub fn standing(&self, upstream: Tag) -> Standing {
         let snapshot = self.shared.snapshot();
         let listed = snapshot.upstream(upstream).map(|listed| &snapshot.upstreams[listed]);
-        listed.map_or(Standing::Leaving, |listed| {
+        listed.map_or(Standing::Available, |listed| {
             self.shared.availability.standing_of_configured(listed)
         })
     }
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -49,6 +49,11 @@
                 break;
             }
         };
+        if !entry.may_ask(&upstream) {
+            // That has changed while the request waited for the permit.
+            tried.insert(upstream.tag);
+            continue;
+        }
         // Spent once the upstream may get the request, so that none is spent in vain.
         if history.attempts > 0 && !entry.spend_service_retry(routed.service) {
             break;
@@ -153,11 +158,9 @@
     if let Some(load) = statement.load {
         let now = Instant::now();
         let took = now.saturating_duration_since(attempt.sent_at);
-        if statement.slowness.is_none() {
-            let run = (attempt.upstream.tag, attempt.upstream.started_ms);
-            let units = 1.0 + f64::from(load.waiting) / f64::from(load.slots);
-            entry.shared.speeds.lock().observe(run, units, took, now);
-        }
+        let run = (attempt.upstream.tag, attempt.upstream.started_ms);
+        let units = 1.0 + f64::from(load.waiting) / f64::from(load.slots);
+        entry.shared.speeds.lock().observe(run, units, took, now);
         entry.with_learned(routed.service, |learned| learned.backlog.observe(load, took, now));
     }
 }
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -111,8 +111,9 @@
         if export.is_none() {
             export = prefill(entry, routed, progress).await?;
         }
-        if !entry.may_ask(&reservation.upstream) {
-            // It has asked for a pause or begun to leave since it was chosen. Nothing was sent.
+        if !entry.may_ask(&reservation.upstream) || permit.is_outdated(entry, &reservation.upstream)
+        {
+            // What it takes has changed since it was chosen. Nothing was sent.
             entry.shared.journal.record(
                 &routed.label,
                 format_args!(
--- a/crates/damaskhatch/src/relay/permit.rs
+++ b/crates/damaskhatch/src/relay/permit.rs
@@ -26,6 +26,13 @@
         Self { limited: None }
     }
 
+    /// Whether the upstream has become limited since it was unlimited when the permit was obtained.
+    pub fn is_outdated(&self, entry: &Entry, upstream: &registry::Entry) -> bool {
+        let (tag, started_ms) = (upstream.tag, upstream.started_ms);
+        let limits = entry.shared.known_limits();
+        self.limited.is_none() && limits.effective(tag, started_ms, Instant::now()).is_some()
+    }
+
     /// Marks the permit as used, because the request is about to be sent.
     pub fn spend(mut self) {
         self.limited = None;
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -79,6 +79,18 @@
         news
     }
 
+    /// Takes into account the set that another host knows.
+    ///
+    /// A list in pages is no snapshot, so two hosts may have read different sets at one version, and each
+    /// keeps its own until a later one. A host that has an older set hears the later one from this host.
+    pub fn merge(&mut self, domains: impl IntoIterator<Item = Tag>, version: u64) -> News {
+        if version > self.version {
+            return self.replace(domains, version);
+        }
+        self.has_been_used |= version < self.version && domains.into_iter().next().is_some();
+        News::default()
+    }
+
     /// Applies the changes that a watch has brought, in order, up to `version`.
     ///
     /// A watch starts where the last read ended, so a set that another host has told meanwhile and
--- a/crates/policy/src/limit/cold.rs
+++ b/crates/policy/src/limit/cold.rs
@@ -5,6 +5,7 @@
 //! hosts together. See [docs/design/cold-engines.md](../../../../docs/design/cold-engines.md).
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::prelude::*;
 
@@ -22,6 +23,8 @@
     pub started_ms: u64,
     /// How much longer it was cold when it wrote its entry.
     pub left: Duration,
+    /// How long upstreams of its service are cold after a start.
+    pub after_start: Duration,
     /// The requests a second that it takes from all hosts while it is cold; `None` if its service names
     /// no warming rate.
     pub per_s: Option<f64>,
@@ -35,36 +38,48 @@
     until: Instant,
 }
 
-/// The cold upstreams of one host's list.
+/// What a list of upstreams has changed.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct News {
+    /// Upstreams that have become cold.
+    pub cold: Vec<Listed>,
+    /// Upstreams that are not listed any more.
+    pub ended: Vec<Tag>,
+}
+
+/// The upstreams of one host's list, and until when they are cold; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
-    known: HashMap<Tag, Known>,
+    known: Arc<HashMap<Tag, Known>>,
 }
 
 impl Table {
-    /// Takes the list of upstreams into account; returns those that have become cold.
+    /// Takes the list of upstreams into account.
     ///
     /// What the list says of an upstream counts once: an entry that is listed again unchanged does not
-    /// make it cold again.
-    pub fn observe(
-        &mut self,
-        listed: impl IntoIterator<Item = Listed>,
-        now: Instant,
-    ) -> Vec<Listed> {
+    /// make it cold again. A later start of a known upstream is cold for as long as its service says, also
+    /// where its entry does not say so yet.
+    pub fn observe(&mut self, listed: impl IntoIterator<Item = Listed>, now: Instant) -> News {
         let mut known = HashMap::new();
-        let mut news = Vec::new();
+        let mut news = News::default();
         for listed in listed {
-            let until = match self.known.get(&listed.upstream) {
+            let earlier = self.known.get(&listed.upstream);
+            let until = match earlier {
                 Some(earlier) if is_same(&earlier.listed, &listed) => earlier.until,
+                Some(earlier) if earlier.listed.started_ms < listed.started_ms => {
+                    now + listed.left.max(listed.after_start).min(MAX_COLD)
+                }
                 _ => now + listed.left.min(MAX_COLD),
             };
-            let was_cold = self.known.get(&listed.upstream).is_some_and(|known| known.until > now);
+            let was_cold = earlier.is_some_and(|known| known.until > now);
             if listed.per_s.is_some() && until > now && !was_cold {
-                news.push(listed);
+                news.cold.push(listed);
             }
             known.insert(listed.upstream, Known { listed, until });
         }
-        self.known = known;
+        let ended = self.known.keys().filter(|upstream| !known.contains_key(*upstream));
+        news.ended = ended.copied().collect();
+        self.known = Arc::new(known);
         news
     }
 
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -29,6 +29,8 @@
 /// The ratio of the slowness of two upstreams below which they count as equally fast: queues make the
 /// time of a unit of work vary by about as much.
 const SAME_RATIO: f64 = 1.3;
+/// How long learned speeds count without a new sample: an upstream that is avoided gives none.
+const SAMPLE_TTL: Duration = Duration::from_secs(30);
 /// How long an upstream without news is kept.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
 
@@ -40,6 +42,11 @@
     (1..=MAX_PERCENT).contains(&percent).then(|| f64::from(percent) / USUAL_PERCENT)
 }
 
+/// What a slowness that was stated so long ago still counts for.
+fn fade(stated: f64, age: Duration) -> f64 {
+    USUAL + (stated - USUAL) * (-age.as_secs_f64() / STATED_TTL.as_secs_f64()).exp()
+}
+
 plain! { value
     /// What a host tells other hosts of an upstream.
     pub struct Notice {
@@ -79,6 +86,7 @@
     learned: Mean,
     /// The samples of this host that other hosts have not been told.
     untold: Mean,
+    sampled_at: Option<Instant>,
     is_news: bool,
     heard_at: Instant,
 }
@@ -91,6 +99,7 @@
             told: USUAL,
             learned: Mean::default(),
             untold: Mean::default(),
+            sampled_at: None,
             is_news: false,
             heard_at: now,
         }
@@ -115,7 +124,8 @@
 
     /// Takes into account that `units` of work took `took` at an upstream.
     ///
-    /// `units` counts the work that was there before, so that a queue does not look like slowness.
+    /// `units` counts the work that was there before, so that a queue does not look like slowness. Only
+    /// upstreams that state how long work takes are compared, as they share their machines with others.
     pub fn observe(
         &mut self,
         (upstream, started_ms): (Tag, u64),
@@ -127,7 +137,10 @@
             return;
         }
         let Some(known) = self.current(upstream, started_ms, now) else { return };
-        let sample = (took.as_secs_f64() / units).ln();
+        let Some((stated, at)) = known.stated else { return };
+        let stated = fade(stated, now.saturating_duration_since(at));
+        let sample = (took.as_secs_f64() / units / stated).ln();
+        known.sampled_at = Some(now);
         known.learned.add(sample, 1.0);
         known.untold.add(sample, 1.0);
     }
@@ -143,6 +156,7 @@
         }
         let (mean, samples) = (f64::from(notice.mean), f64::from(notice.samples));
         if samples > 0.0 && mean.is_finite() {
+            known.sampled_at = Some(now);
             known.learned.add(mean, samples.min(WINDOW_SAMPLES));
         }
     }
@@ -182,7 +196,10 @@
     ) -> HashMap<Tag, f64> {
         let known: Vec<(Tag, &Known)> =
             group.into_iter().filter_map(|tag| Some((tag, self.known.get(&tag)?))).collect();
-        let is_learned = |known: &Known| known.learned.weight >= MIN_SAMPLES;
+        let is_learned = |known: &Known| {
+            let age = known.sampled_at.map(|at| now.saturating_duration_since(at));
+            known.learned.weight >= MIN_SAMPLES && age.is_some_and(|age| age < SAMPLE_TTL)
+        };
         let mut means: Vec<f64> = known
             .iter()
             .filter(|(_, known)| is_learned(known))
@@ -195,10 +212,9 @@
             let learned = learned.map_or(USUAL, |median| (known.learned.value - median).exp());
             let is_same = (SAME_RATIO.recip()..SAME_RATIO).contains(&learned);
             let learned = if is_same { USUAL } else { learned };
-            let stated = known.stated.map_or(USUAL, |(stated, at)| {
-                let age = now.saturating_duration_since(at).as_secs_f64();
-                USUAL + (stated - USUAL) * (-age / STATED_TTL.as_secs_f64()).exp()
-            });
+            let stated = known
+                .stated
+                .map_or(USUAL, |(stated, at)| fade(stated, now.saturating_duration_since(at)));
             let factor = (learned * stated).clamp(BOUNDS.0, BOUNDS.1);
             ((factor - USUAL).abs() > f64::EPSILON).then_some((*tag, factor))
         });
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -12,16 +12,17 @@
 
 fn listed(started_ms: u64, left_ms: u64, per_s: f64) -> Listed {
     let per_s = (per_s > 0.0).then_some(per_s);
-    Listed { upstream: UPSTREAM, started_ms, left: Duration::from_millis(left_ms), per_s }
+    let (left, after_start) = (Duration::from_millis(left_ms), Duration::from_secs(3));
+    Listed { upstream: UPSTREAM, started_ms, left, after_start, per_s }
 }
 
 /// Guards against an entry that makes an upstream cold again whenever the list is read.
 #[test]
 fn an_entry_counts_once() {
     let (mut cold, start) = (Cold::default(), Instant::now());
-    assert_eq!(cold.observe([listed(1, 3_000, 39.0)], start).len(), 1);
+    assert_eq!(cold.observe([listed(1, 3_000, 39.0)], start).cold.len(), 1);
     let later = start + Duration::from_secs(2);
-    assert!(cold.observe([listed(1, 3_000, 39.0)], later).is_empty());
+    assert!(cold.observe([listed(1, 3_000, 39.0)], later).cold.is_empty());
     assert_eq!(cold.rate(UPSTREAM, start + Duration::from_millis(2_999)), Some(39.0));
     assert_eq!(cold.rate(UPSTREAM, start + Duration::from_secs(3)), None);
 }
@@ -34,11 +35,12 @@
     let warm = start + Duration::from_secs(5);
     cold.observe([listed(1, 0, 39.0)], warm);
     assert_eq!(cold.rate(UPSTREAM, warm), None);
-    assert_eq!(cold.observe([listed(1, 3_000, 39.0)], warm).len(), 1);
+    assert_eq!(cold.observe([listed(1, 3_000, 39.0)], warm).cold.len(), 1);
     assert_eq!(cold.rate(UPSTREAM, warm), Some(39.0));
     let restarted = warm + Duration::from_secs(1);
-    cold.observe([listed(2, 2_000, 39.0)], restarted);
-    assert_eq!(cold.rate(UPSTREAM, restarted + Duration::from_millis(1_999)), Some(39.0));
+    cold.observe([listed(2, 0, 39.0)], restarted);
+    assert_eq!(cold.rate(UPSTREAM, restarted + Duration::from_millis(2_999)), Some(39.0));
+    assert_eq!(cold.rate(UPSTREAM, restarted + Duration::from_secs(3)), None);
 }
 
 /// Guards against an upstream that is throttled for hours, or without a rate.
@@ -47,9 +49,9 @@
     let (mut cold, start) = (Cold::default(), Instant::now());
     cold.observe([listed(1, u64::MAX, 39.0)], start);
     assert_eq!(cold.rate(UPSTREAM, start + MAX_COLD), None);
-    assert!(cold.observe([listed(2, 3_000, 0.0)], start).is_empty());
+    assert!(cold.observe([listed(2, 3_000, 0.0)], start).cold.is_empty());
     assert_eq!(cold.rate(UPSTREAM, start), None);
-    assert!(cold.observe([], start).is_empty());
+    assert_eq!(cold.observe([], start).ended, [UPSTREAM]);
     assert_eq!(cold.cold(start).count(), 0);
 }
 
@@ -76,8 +78,7 @@
 }
 
 proptest! {
-    /// Guards against hosts that hear late that an upstream is cold: whoever asks, the holder grants no
-    /// more in any second than the rate, and one and a half times it with five more is never reached.
+    /// Guards against asks of many hosts that are granted beyond the rate, a tick's worth and one request.
     #[test]
     fn many_hosts_together_keep_to_the_rate(
         per_s in 2.0_f64..60.0,
@@ -108,7 +109,7 @@
         }
         for (at, first) in grants.iter().enumerate() {
             let within = grants[at..].iter().take_while(|time| **time < *first + Duration::from_secs(1));
-            prop_assert!(within.count() as f64 <= per_s * 1.5 + 5.0);
+            prop_assert!(within.count() as f64 <= per_s * 1.02 + 1.0 + 1e-6);
         }
     }
 }
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -20,6 +20,21 @@
     assert!(!table.is_evacuated(domain("a")));
 }
 
+/// Guards against hosts that overwrite each other's sets of one version, and against a host that is not
+/// told that a domain was taken back because its peers have started since.
+#[test]
+fn of_two_sets_of_one_version_a_host_keeps_its_own() {
+    let mut table = Table::default();
+    table.replace([], 7);
+    assert!(!table.has_been_used());
+    assert!(table.merge([domain("a")], 7).is_empty());
+    assert!(!table.has_been_used());
+    assert!(table.merge([domain("a")], 6).is_empty());
+    assert!(table.has_been_used(), "the host that still has the older set must hear the later one");
+    assert!(!table.is_evacuated(domain("a")));
+    assert_eq!(table.merge([domain("a")], 8).evacuated, [domain("a")]);
+}
+
 /// Guards against a domain that is evacuated again and stays in use.
 #[test]
 fn the_last_change_to_a_domain_counts() {
@@ -47,7 +62,7 @@
         told.rotate_left(turn);
         let mut table = Table::default();
         for (version, domains) in told {
-            table.replace(domains.into_iter().map(Tag), version);
+            table.merge(domains.into_iter().map(Tag), version);
         }
         prop_assert_eq!(table.version(), latest);
         prop_assert_eq!(table.domains().map(|tag| tag.0).collect::<Vec<_>>(), expected.into_iter().collect::<Vec<_>>());
--- a/crates/policy/tests/uneven.rs
+++ b/crates/policy/tests/uneven.rs
@@ -12,7 +12,7 @@
 use damaskhatch_policy::sheet::Role;
 use damaskhatch_policy::speed::{self, Table};
 use proptest::prelude::*;
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 /// The prompt tokens that a usual engine reads in a millisecond.
@@ -81,11 +81,9 @@
                 load.remove(work);
             }
             let speeds = &mut hosts[host].speeds;
-            if states {
-                speeds.state(tag, 1, slowness(number, ms), now);
-            } else {
-                speeds.observe((tag, 1), f64::from(ahead + PROMPT), took, now);
-            }
+            // An engine that does not know how slow it is states the usual figure.
+            speeds.state(tag, 1, if states { slowness(number, ms) } else { 1.0 }, now);
+            speeds.observe((tag, 1), f64::from(ahead + PROMPT), took, now);
             if arrived > 15_000 {
                 all += 1;
                 in_time += usize::from(took.as_secs_f64() * 1_000.0 <= TARGET_MS);
@@ -149,7 +147,7 @@
     };
     let before = share_in_time(slowness, 0.6, false, true);
     let after = share_in_time(slowness, 0.6, true, true);
-    assert!(after >= before - 0.01, "{after:.3} in time, {before:.3} without statements");
+    assert!(after >= before + 0.01, "{after:.3} in time, {before:.3} without statements");
 }
 
 /// Guards against engines of one speed that are taken for different ones.
