--- a/crates/damaskhatch/src/relay/candidates.rs
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -74,11 +74,11 @@
         entry.shared.journal.record(
             label,
             format_args!(
-                "event=left_out leaving={} paused={} evacuated={} remaining={}",
+                "event=left_out leaving={} paused={} remaining={} evacuated={}",
                 leaving.join(","),
                 paused.join(","),
-                evacuated.join(","),
-                entries.len()
+                entries.len(),
+                evacuated.join(",")
             ),
         );
     }
