Keep requests in the homes of their route and team

Routes and tenants may name the regions that their requests are bound to; nothing read them, and hosts did not know the regions of domains. The setting `regions` names those now. A route and a team's tariff carry their homes, and `Entry::candidates`, where each choice of an upstream for a route's request begins, leaves out the upstreams elsewhere: for plain requests, reservations, prefills, streams, resumptions and further attempts. Both lists bind; a domain of unknown region is no home. A stream without an engine left is refused at once instead of waiting for room. The team of a key binds also on routes that require none. Configurations without homes, and rows of earlier versions, are read and written as before.

--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -101,6 +101,7 @@
         strikes: strikes_seen,
         limits: limits_seen,
         availability: Availability::default(),
+        regions: Arc::new(settings.host.region_table()),
         speeds: Speeds::default(),
         memory: Budgets::new(settings.limits.memory_mb),
         pool: Pool::default(),
@@ -113,8 +114,7 @@
         settings: Arc::new(settings),
     };
     let settings = Arc::clone(&shared.settings);
-    let codec = Codec::new(&settings.host.secret, host, incarnation);
-    let codec = Arc::new(Mutex::new(codec));
+    let codec = Arc::new(Mutex::new(Codec::new(&settings.host.secret, host, incarnation)));
     let archive = Arc::new(Mutex::new(Archive::default()));
 
     let arbiter = Arbiter::new();
--- a/crates/damaskhatch/src/relay/candidates.rs
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 
 use damaskhatch_policy::availability::{Standing, Table};
+use damaskhatch_policy::homes;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
 
+use super::request::Routed;
 use crate::entry::Entry;
 
 /// The most that is added at random to the time after which a caller may come back whose upstreams
@@ -25,19 +27,26 @@
     leaving: Vec<&'a str>,
     paused: Vec<&'a str>,
     evacuated: Vec<&'a str>,
+    /// Those in regions that the request is not bound to.
+    away: Vec<&'a str>,
 }
 
 impl<'a> Candidates<'a> {
     /// Divides suitable upstreams by their standing.
     fn divide(
         suitable: impl Iterator<Item = &'a registry::Entry>,
+        is_at_home: impl Fn(&registry::Entry) -> bool,
         table: &Table,
         now: Instant,
     ) -> Self {
         let (mut available, mut discouraged) = (Vec::new(), Vec::new());
         let (mut leaving, mut paused, mut evacuated) = (Vec::new(), Vec::new(), Vec::new());
-        let mut soonest: Option<Instant> = None;
+        let (mut soonest, mut away) = (None::<Instant>, Vec::new());
         for entry in suitable {
+            if !is_at_home(entry) {
+                away.push(entry.instance.as_str());
+                continue;
+            }
             match table.standing_in(entry.domain, entry.tag, entry.started_ms, now) {
                 Standing::Available => available.push(entry),
                 Standing::Discouraged => discouraged.push(entry),
@@ -51,18 +60,28 @@
         }
         let entries = if available.is_empty() { discouraged } else { available };
         let paused_until = soonest.filter(|_| entries.is_empty());
-        Self { entries, paused_until, leaving, paused, evacuated }
+        Self { entries, paused_until, leaving, paused, evacuated, away }
     }
 
-    /// Whether there would be upstreams to choose from if their domains were not evacuated.
-    pub const fn are_evacuated(&self) -> bool {
-        self.entries.is_empty() && self.paused_until.is_none() && !self.evacuated.is_empty()
+    /// Why no request can wait for an upstream here; `None` if there are some, or may soon be.
+    ///
+    /// Evacuated domains are used again, and homes change, only as an operator decides.
+    pub const fn closed(&self) -> Option<&'static str> {
+        if !self.entries.is_empty() || self.paused_until.is_some() {
+            return None;
+        }
+        match (self.evacuated.is_empty(), self.away.is_empty()) {
+            (false, _) => Some("all_evacuated"),
+            (true, false) => Some("none_at_home"),
+            (true, true) => None,
+        }
     }
 
     /// Logs and counts which upstreams were left out of a choice.
     pub fn record(&self, entry: &Entry, label: impl fmt::Display) {
-        let Self { leaving, paused, evacuated, entries, .. } = self;
-        let reasons = [(leaving, "leaving"), (paused, "paused"), (evacuated, "evacuated")];
+        let Self { leaving, paused, evacuated, away, entries, .. } = self;
+        let reasons =
+            [(leaving, "leaving"), (paused, "paused"), (evacuated, "evacuated"), (away, "away")];
         if reasons.iter().all(|(names, _)| names.is_empty()) {
             return;
         }
@@ -74,10 +93,11 @@
         entry.shared.journal.record(
             label,
             format_args!(
-                "event=left_out leaving={} paused={} evacuated={} remaining={}",
+                "event=left_out leaving={} paused={} evacuated={} away={} remaining={}",
                 leaving.join(","),
                 paused.join(","),
                 evacuated.join(","),
+                away.len(),
                 entries.len()
             ),
         );
@@ -85,15 +105,22 @@
 }
 
 impl Entry {
-    /// The upstreams of a service that a request may be sent to, of those that suit it.
+    /// The upstreams that a request may be sent to, of those of its service that suit it.
+    ///
+    /// Every choice of an upstream for a route's request begins here, so that its homes bind all of them.
     pub fn candidates<'a>(
         &self,
         registry: &'a registry::Registry,
-        service: Tag,
+        routed: &Routed,
         suits: impl Fn(&registry::Entry) -> bool,
     ) -> Candidates<'a> {
+        let service = self.shared.snapshot().services[routed.service].tag;
         let suitable = registry.usable(service).filter(|entry| suits(entry));
-        Candidates::divide(suitable, &self.shared.availability.lock(), Instant::now())
+        let is_at_home = |entry: &registry::Entry| {
+            let region = self.shared.regions.of(entry.domain);
+            homes::allows(&routed.route.homes, &routed.team_homes, region)
+        };
+        Candidates::divide(suitable, is_at_home, &self.shared.availability.lock(), Instant::now())
     }
 
     /// Whether this host may send a request to an upstream of the configuration now; one that the
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -175,8 +175,7 @@
     tried: &HashSet<Tag>,
 ) -> Result<Option<(registry::Entry, Permit)>, Duration> {
     let registry = entry.shared.upstreams();
-    let service = entry.shared.snapshot().services[routed.service].tag;
-    let candidates = entry.candidates(&registry, service, |other| !tried.contains(&other.tag));
+    let candidates = entry.candidates(&registry, routed, |other| !tried.contains(&other.tag));
     candidates.record(entry, &routed.label);
     if let Some(until) = candidates.paused_until {
         return Err(candidates::retry_after(until, Instant::now()));
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -196,16 +196,16 @@
     let mut is_first = true;
     loop {
         let loads = entry.known_loads();
-        let Choice { engines, paused_until, are_evacuated } =
+        let Choice { engines, paused_until, closed } =
             decode_engines(entry, routed, &loads, progress, is_first);
         is_first = false;
         if let Some(until) = paused_until.filter(|until| *until >= give_up_at) {
             let wait = candidates::retry_after(until, Instant::now());
             return Err(Refusal::after(Kind::Overloaded, wait));
         }
-        if are_evacuated {
-            // The operator decides when they are used again, which no request can wait for.
-            entry.shared.journal.record(&routed.label, format_args!("event=all_evacuated"));
+        if let Some(reason) = closed {
+            // An operator decides when that changes, which no request can wait for.
+            entry.shared.journal.record(&routed.label, format_args!("event={reason}"));
             return Err(Refusal::after(Kind::Overloaded, retry_after()));
         }
         if engines.is_empty() && !is_in_service(entry, routed, progress.version) {
@@ -291,8 +291,8 @@
     engines: Vec<registry::Entry>,
     /// When the first may be asked, if all have asked for a pause.
     paused_until: Option<Instant>,
-    /// Whether all are in evacuated domains.
-    are_evacuated: bool,
+    /// Why no request can wait for any, if so; see [`Candidates::closed`].
+    closed: Option<&'static str>,
 }
 
 /// The usable decode engines, ranked by placement.
@@ -306,10 +306,9 @@
     is_recorded: bool,
 ) -> Choice {
     let registry = entry.shared.upstreams();
-    let service = entry.shared.snapshot().services[routed.service].tag;
     let now = Instant::now();
     let outliers = entry.outliers();
-    let candidates = entry.candidates(&registry, service, |e| {
+    let candidates = entry.candidates(&registry, routed, |e| {
         e.role == Some(Role::Decode)
             && !progress.excluded.contains(&e.tag)
             && progress.version.is_none_or(|version| e.software == version)
@@ -317,7 +316,7 @@
     if is_recorded {
         candidates.record(entry, &routed.label);
     }
-    let are_evacuated = candidates.are_evacuated();
+    let closed = candidates.closed();
     let Candidates { entries: usable, paused_until, .. } = candidates;
     let mut healthy: Vec<_> =
         usable.iter().copied().filter(|e| !outliers.is_ejected(e.tag, now)).collect();
@@ -332,7 +331,7 @@
     }
     let domain = entry.shared.domain;
     let ranked = placement::rank_decode(healthy.into_iter(), loads, domain, &mut rand::rng());
-    Choice { engines: ranked.into_iter().cloned().collect(), paused_until, are_evacuated }
+    Choice { engines: ranked.into_iter().cloned().collect(), paused_until, closed }
 }
 
 /// Runs the prefill on a prefill engine; `None` leaves it to the decode engine.
@@ -342,7 +341,6 @@
     progress: &mut Progress,
 ) -> Result<Option<Export>, Refusal> {
     let registry = entry.shared.upstreams();
-    let service = entry.shared.snapshot().services[routed.service].tag;
     let phase = entry.shared.deployment.dialect.prefill_phase.to_owned();
     let prompt = routed.tokens.unwrap_or_default().prompt + progress.tokens_done;
     for _ in 0..MAX_PREFILL_ATTEMPTS {
@@ -351,7 +349,7 @@
         let now = Instant::now();
         let ranked = {
             let outliers = entry.outliers();
-            let candidates = entry.candidates(&registry, service, |e| {
+            let candidates = entry.candidates(&registry, routed, |e| {
                 e.role == Some(Role::Prefill)
                     && !outliers.is_ejected(e.tag, now)
                     // What one version exports does not fit another, which then reads the prompt
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -42,6 +42,8 @@
     pub service: Service,
     /// The authenticated team; `None` where no key is required and none could be verified.
     pub caller: Option<Caller>,
+    /// The regions that the sender's team is bound to, also where its key is not required.
+    pub team_homes: Vec<String>,
     /// The HTTP method, the same for every attempt.
     pub method: Method,
     /// The request target: path and query, as the caller sent them.
@@ -115,7 +117,10 @@
     let host = host_name(request);
     let path = request.uri().path();
     let route = snapshot.routes.find(host, path).ok_or(Refusal::from(Kind::UnknownService))?;
-    let caller = authenticate(request, entry, &snapshot, route)?;
+    let identified = identify_sender(request, entry, &snapshot);
+    let team = identified.as_ref().ok().and_then(|caller| snapshot.teams.get(caller.team?));
+    let team_homes = team.map_or_else(Vec::new, |team| team.homes.clone());
+    let caller = authenticate(identified, entry, &snapshot, route)?;
     let service =
         route.choose_service(rand::random()).and_then(|name| snapshot.service(Tag::of(name)));
     let service = service.ok_or(Refusal::from(Kind::NoUpstream))?;
@@ -159,6 +164,7 @@
         label: label.to_owned(),
         service,
         caller,
+        team_homes,
         method: request.method().as_str().parse().map_err(|_error| Kind::Malformed)?,
         target: request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned(),
         headers,
@@ -191,19 +197,27 @@
     named.rsplit_once(':').map_or(named, |(host, _port)| host)
 }
 
-/// Verifies the caller's key; `None` where no key is required and none could be verified.
-fn authenticate(
+/// Identifies the caller by the key that it sent.
+fn identify_sender(
     request: &HttpRequest,
     entry: &Entry,
     snapshot: &Snapshot,
-    route: &Route,
-) -> Result<Option<Caller>, Refusal> {
+) -> Result<Caller, Refusal> {
     let scheme = entry.shared.deployment.dialect.key_scheme;
     let sent = request.headers().get(header::AUTHORIZATION).and_then(|sent| sent.to_str().ok());
     let key = sent
         .and_then(|sent| sent.split_once(' '))
         .filter(|(named, key)| named.eq_ignore_ascii_case(scheme) && !key.trim().is_empty());
-    let identified = identify(snapshot, key.map(|(_, key)| digest(key.trim())));
+    identify(snapshot, key.map(|(_, key)| digest(key.trim())))
+}
+
+/// Checks whether the caller may use the route; `None` where no key is required and none could be verified.
+fn authenticate(
+    identified: Result<Caller, Refusal>,
+    entry: &Entry,
+    snapshot: &Snapshot,
+    route: &Route,
+) -> Result<Option<Caller>, Refusal> {
     if route.open || snapshot.teams.is_empty() {
         // A valid key is not required, but its team is still forwarded to the upstream.
         return Ok(identified.ok().filter(|_| entry.shared.are_keys_fresh()));
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use damaskhatch_policy::homes::Regions;
 use damaskhatch_policy::schedule::Rules;
 use ini::Ini;
 
@@ -74,6 +75,22 @@
     }
 }
 
+impl Value for Vec<(String, String)> {
+    /// Parses pairs; one with an empty part, as a template leaves it for a value that it is not given,
+    /// says nothing.
+    fn parse(text: &str) -> Result<Self, String> {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let pairs = parts.map(|part| match part.split_once(':') {
+            Some((name, value)) => Ok((name.trim().to_owned(), value.trim().to_owned())),
+            None => Err(format!("{part:?} is not NAME:VALUE")),
+        });
+        let pairs = pairs.filter(|pair| {
+            pair.as_ref().map_or(true, |(name, value)| !name.is_empty() && !value.is_empty())
+        });
+        pairs.collect()
+    }
+}
+
 impl Value for Vec<SocketAddr> {
     fn parse(text: &str) -> Result<Self, String> {
         let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
@@ -236,6 +253,8 @@
         ready_path: String, Some("/ready"), accept_any, "the path of the readiness check";
         domains: Vec<String>, Some(""), accept_any,
             "the failure domains, comma-separated, if no sheet lists them";
+        regions: Vec<(String, String)>, Some(""), accept_any,
+            "the region of each failure domain, DOMAIN:REGION, comma-separated";
     }
     /// The platform's key-value store and list of hosts.
     platform: Platform {
@@ -300,6 +319,14 @@
     }
 }
 
+impl Host {
+    /// The region of each domain that `regions` names.
+    pub fn region_table(&self) -> Regions {
+        let named = self.regions.iter();
+        Regions::new(named.map(|(domain, region)| (domain.as_str(), region.as_str())))
+    }
+}
+
 impl Schedule {
     /// The rules for the schedulers that this host runs.
     pub fn rules(&self) -> Rules {
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -6,6 +6,7 @@
 use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::homes::Regions;
 use damaskhatch_policy::limit;
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::prelude::*;
@@ -66,6 +67,8 @@
     pub limits: watch::Receiver<Arc<limit::Table>>,
     /// What upstreams have said of themselves about new requests.
     pub availability: Availability,
+    /// The region of each domain.
+    pub regions: Arc<Regions>,
     /// How fast upstreams work.
     pub speeds: Speeds,
     /// The memory for bodies.
--- a/crates/policy/src/config/snapshot.rs
+++ b/crates/policy/src/config/snapshot.rs
@@ -36,6 +36,8 @@
     pub is_limited: bool,
     /// The priority of the team's requests, 0 being the highest; `None` if the route decides.
     pub priority: Option<u8>,
+    /// The regions that the team's requests are bound to; empty if they may be run anywhere.
+    pub homes: Vec<String>,
 }
 
 /// A service; one that left the sheet keeps its index but has no kind and no upstreams.
@@ -215,6 +217,7 @@
                     plain_tokens: 1,
                     is_limited: true,
                     priority: None,
+                    homes: Vec::new(),
                 };
                 upsert(&mut self.names.teams, &mut self.teams, tag, entry);
             }
@@ -273,12 +276,13 @@
                     self.services[service].engines = Some(*terms);
                 }
             }
-            Row::Tariff { team, plain_tokens, is_limited, priority } => {
+            Row::Tariff { team, plain_tokens, is_limited, priority, homes } => {
                 if let Some(team) = self.team(Tag::of(team)) {
                     let entry = &mut self.teams[team];
                     entry.plain_tokens = *plain_tokens;
                     entry.is_limited = *is_limited;
                     entry.priority = *priority;
+                    entry.homes.clone_from(homes);
                 }
             }
             Row::Key { digest, team } => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod evacuation;
 pub mod freshness;
+pub mod homes;
 pub mod id;
 pub mod length;
 pub mod limit;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -71,6 +71,9 @@
         pub max_attempts: u32,
         /// Whether callers may omit the key.
         pub open: bool,
+        /// The regions that requests are bound to; empty if they may be run anywhere.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub homes: Vec<String>,
     }
 }
 
--- a/crates/policy/src/sheet/row.rs
+++ b/crates/policy/src/sheet/row.rs
@@ -115,7 +115,7 @@
             /// The values that apply to each engine.
             terms: EngineTerms,
         },
-        /// The cost and priority of a team's requests.
+        /// The cost and priority of a team's requests, and where they may be run.
         Tariff {
             /// The team.
             team: String,
@@ -125,6 +125,9 @@
             is_limited: bool,
             /// The priority that overrides the route's, if any; 0 is the highest.
             priority: Option<u8>,
+            /// The regions that the requests are bound to; empty if they may be run anywhere.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            homes: Vec<String>,
         },
         /// The services and limits for requests with one host and path prefix.
         Route(Route),
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -29,6 +29,7 @@
         targets: vec![Target { service: "s".to_owned(), weight: 1.0 }],
         max_attempts: 1,
         open: false,
+        homes: Vec::new(),
     }
 }
 
