--- a/crates/damaskhatch/src/relay/candidates.rs
+++ b/crates/damaskhatch/src/relay/candidates.rs
@@ -93,12 +93,12 @@
         entry.shared.journal.record(
             label,
             format_args!(
-                "event=left_out leaving={} paused={} evacuated={} away={} remaining={}",
+                "event=left_out leaving={} paused={} remaining={} evacuated={} away={}",
                 leaving.join(","),
                 paused.join(","),
+                entries.len(),
                 evacuated.join(","),
-                away.len(),
-                entries.len()
+                away.len()
             ),
         );
     }
