--- a/crates/damaskhatch/src/entry/body.rs
+++ b/crates/damaskhatch/src/entry/body.rs
@@ -5,34 +5,82 @@
 //! beginning to the end of the body, which also shows that this process was killed meanwhile. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#ends-of-responses).
 
-use std::convert::Infallible;
+use std::cell::RefCell;
 use std::io;
+use std::rc::{Rc, Weak};
 
 use actix_web::body::SizedStream;
 use actix_web::http::{ConnectionType, Version};
 use actix_web::web::Bytes;
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use damaskhatch_policy::prelude::*;
+use damaskhatch_policy::unread;
 use futures_util::stream::{Stream, StreamExt};
 use tokio::task::yield_now;
+use tokio::time::sleep;
 
 use super::closed::Connection;
+use crate::shared::Shared;
 
 /// The most bytes of a complete body that the server copies at a time.
 const PIECE_BYTES: usize = 32 << 10;
+/// The pause between two looks at whether a caller takes its response.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+
+/// What a caller has still to take of a complete body.
+#[derive(Debug)]
+struct Rest {
+    /// Empty once the body has been given up.
+    body: Option<Bytes>,
+    taken_at: Instant,
+}
+
+impl Rest {
+    /// The next piece; `None` at the end of the body.
+    fn next(&mut self) -> io::Result<Option<Bytes>> {
+        self.taken_at = Instant::now();
+        let Some(body) = &mut self.body else {
+            return Err(io::Error::other("the response was left unread"));
+        };
+        let piece = body.split_to(body.len().min(PIECE_BYTES));
+        Ok(Some(piece).filter(|piece| !piece.is_empty()))
+    }
+}
+
+/// Gives up a body that its caller leaves unread while other responses need the memory.
+async fn give_up_unread(shared: Shared, rest: Weak<RefCell<Rest>>) {
+    let memory = &shared.memory.responses;
+    loop {
+        sleep(LOOK_PAUSE).await;
+        let Some(rest) = rest.upgrade() else { return };
+        let mut rest = rest.borrow_mut();
+        let paused = Instant::now().saturating_duration_since(rest.taken_at);
+        if unread::is_given_up(paused, memory.used(), memory.total()) {
+            let bytes = rest.body.take().map_or(0, |body| body.len());
+            let paused = paused.as_millis();
+            log::warn!("event=response_unread bytes={bytes} paused_ms={paused} action=cut_off");
+            shared.metrics.unread.inc();
+            return;
+        }
+    }
+}
 
 /// Builds a response with a complete body.
 ///
 /// The server copies a body as a whole before the caller takes any of it, so a long one is handed over in
-/// pieces.
-pub fn complete(mut response: HttpResponseBuilder, body: Bytes) -> HttpResponse {
+/// pieces. One that the caller leaves unread is given up while memory is short, and its connection closed.
+pub fn complete(shared: &Shared, mut response: HttpResponseBuilder, body: Bytes) -> HttpResponse {
     if body.len() <= PIECE_BYTES {
         return response.body(body);
     }
     let length = body.len();
-    let pieces = (0..length)
-        .step_by(PIECE_BYTES)
-        .map(move |from| Ok::<_, Infallible>(body.slice(from..length.min(from + PIECE_BYTES))));
-    response.body(SizedStream::new(length as u64, futures_util::stream::iter(pieces)))
+    let rest = Rc::new(RefCell::new(Rest { body: Some(body), taken_at: Instant::now() }));
+    actix_rt::spawn(give_up_unread(shared.clone(), Rc::downgrade(&rest)));
+    let pieces = futures_util::stream::try_unfold(rest, async |rest| {
+        let piece = rest.borrow_mut().next()?;
+        Ok::<_, io::Error>(piece.map(|piece| (piece, rest)))
+    });
+    response.body(SizedStream::new(length as u64, Box::pin(pieces)))
 }
 
 /// Builds a response with a streamed body; an error item closes the caller's connection without
--- a/crates/damaskhatch/src/entry/closed.rs
+++ b/crates/damaskhatch/src/entry/closed.rs
@@ -13,6 +13,7 @@
 
 use actix_web::dev::Extensions;
 use actix_web::{HttpRequest, rt::net::TcpStream};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::io::unix::AsyncFd;
@@ -44,10 +45,21 @@
 struct Descriptor(Arc<Duplicate>);
 
 /// Stores a duplicate of each new connection's descriptor as connection data.
-pub fn on_connect(connection: &dyn Any, data: &mut Extensions, closing: &Closing) {
+///
+/// The kernel resets the connection once the caller has taken none of the bytes sent to it for
+/// `unread_limit`; a connection with nothing to send is not affected.
+pub fn on_connect(
+    connection: &dyn Any,
+    data: &mut Extensions,
+    closing: &Closing,
+    unread_limit: Duration,
+) {
     let Some(stream) = connection.downcast_ref::<TcpStream>() else {
         return;
     };
+    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(unread_limit)) {
+        log::warn!("event=unread_limit_not_set error={error}");
+    }
     match stream.as_fd().try_clone_to_owned() {
         Ok(descriptor) => {
             data.insert(Descriptor(Arc::new(Duplicate {
@@ -82,6 +94,27 @@
         self.set_reset(false);
     }
 
+    /// Returns once the kernel takes further bytes for the caller, or the connection has ended.
+    ///
+    /// A caller that reads nothing thus gets no further request served, whose response would be kept for it.
+    pub async fn wait_writable(&self) {
+        let Some(descriptor) = self.0.0.descriptor.as_ref() else { return };
+        let mut polled = [PollFd::new(descriptor, PollFlags::OUT)];
+        if poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0) {
+            return;
+        }
+        #[expect(
+            deprecated,
+            reason = "an owned descriptor meets the safety requirement of the unsafe replacement"
+        )]
+        let watched = descriptor
+            .try_clone()
+            .and_then(|duplicate| AsyncFd::with_interest(duplicate, Interest::WRITABLE));
+        if let Ok(watched) = watched {
+            let _ready = watched.writable().await;
+        }
+    }
+
     fn set_reset(&self, is_reset: bool) {
         let Duplicate { descriptor: Some(descriptor), is_reset: stored, .. } = &*self.0.0 else {
             return;
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -63,7 +63,7 @@
     let started = idempotency::begin(entry, request, &work.caller, work.fingerprints.request);
     let record = match started.await {
         idempotency::Start::Run(record) => record,
-        idempotency::Start::Replay(response) => return response.to_http(),
+        idempotency::Start::Replay(response) => return response.to_http(&entry.shared),
         idempotency::Start::Refused(refusal) => return entry.refuse(id, refusal),
     };
     if work.completion.stream {
@@ -89,7 +89,7 @@
         }
     };
     record.finish(response.clone());
-    response.to_http()
+    response.to_http(&entry.shared)
 }
 
 /// Reads, parses and authorizes a request.
--- a/crates/damaskhatch/src/entry/idempotency.rs
+++ b/crates/damaskhatch/src/entry/idempotency.rs
@@ -17,6 +17,7 @@
 use super::access::Caller;
 use super::body;
 use super::refusal::Refusal;
+use crate::shared::Shared;
 
 /// The request header that carries the idempotency key.
 pub const HEADER: &str = "idempotency-key";
@@ -69,12 +70,12 @@
     }
 
     /// Converts the response to the type of the HTTP server.
-    pub fn to_http(&self) -> HttpResponse {
+    pub fn to_http(&self, shared: &Shared) -> HttpResponse {
         let mut response = HttpResponse::build(self.status);
         for (name, value) in &self.headers {
             response.append_header((name.clone(), value.clone()));
         }
-        body::complete(response, self.body.clone())
+        body::complete(shared, response, self.body.clone())
     }
 }
 
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -68,7 +68,7 @@
     let record =
         match idempotency::begin(&entry, &request, &work.caller, work.fingerprints.request).await {
             idempotency::Start::Run(record) => record,
-            idempotency::Start::Replay(response) => return response.to_http(),
+            idempotency::Start::Replay(response) => return response.to_http(&entry.shared),
             idempotency::Start::Refused(refusal) => return entry.refuse(id, refusal),
         };
     let repeatable = work.repeatable;
@@ -77,7 +77,7 @@
         match run(&task_entry, &work).await {
             Ok(response) => {
                 record.finish(response.clone());
-                response.to_http()
+                response.to_http(&task_entry.shared)
             }
             Err(refusal) => {
                 task_entry.record_refusal(id, &refusal);
--- a/crates/damaskhatch/src/entry/unread.rs
+++ b/crates/damaskhatch/src/entry/unread.rs
@@ -1,4 +1,8 @@
-//! Ends connections whose last request was answered before its body was read.
+//! Leaves a request unserved while its caller leaves earlier responses unread, and ends connections whose
+//! last request was answered before its body was read.
+//!
+//! The HTTP server serves the requests of a connection one after the other, and keeps the responses that the
+//! kernel does not take yet, without a limit on those without a body.
 //!
 //! The HTTP server reads the rest of a chunked body that nobody holds any more, however long that takes.
 //! While a body is held, it closes the connection after the response instead.
@@ -15,6 +19,8 @@
 use actix_web::{Error, HttpMessage as _};
 use futures_util::stream::{self, Stream as _};
 
+use super::closed::Connection;
+
 /// A response's body that holds the body of its request.
 struct Holding {
     body: BoxBody,
@@ -45,6 +51,9 @@
     mut request: ServiceRequest,
     next: Next<impl MessageBody + 'static>,
 ) -> Result<ServiceResponse<BoxBody>, Error> {
+    if let Some(connection) = Connection::of(request.request()) {
+        connection.wait_writable().await;
+    }
     if !request.chunked().unwrap_or(false) {
         return Ok(next.call(request).await?.map_into_boxed_body());
     }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -179,6 +179,7 @@
     let state = web::Data::new(Entry::new(shared.clone(), control.clone()));
     let is_routed = shared.deployment.catalogue.is_some();
     let closing = shared.closing.clone();
+    let unread_limit = Duration::from_millis(settings.limits.unread_ms);
     let configure = if is_routed { relay::configure } else { entry::configure };
     let server = HttpServer::new(move || {
         App::new()
@@ -186,7 +187,9 @@
             .wrap(from_fn(unread::close_after_response))
             .configure(configure)
     })
-    .on_connect(move |connection, data| closed::on_connect(connection, data, &closing))
+    .on_connect(move |connection, data| {
+        closed::on_connect(connection, data, &closing, unread_limit);
+    })
     .workers(settings.host.workers as usize)
     .keep_alive(KEEP_ALIVE)
     .client_request_timeout(REQUEST_TIMEOUT)
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -71,6 +71,8 @@
     /// Requests that may be repeated, by the connection that they were sent on: `new`, `kept`, or
     /// `stale` where a kept one ended under them.
     pub upstream_exchanges: IntCounterVec,
+    /// Responses that were given up because their callers left them unread while memory was short.
+    pub unread: IntCounter,
     /// The configuration revision in force.
     pub revision: IntGauge,
     /// Hosts considered alive, this one included.
@@ -147,6 +149,7 @@
                 "Repeatable requests to upstreams.",
                 &["connection"],
             ),
+            unread: counter(r, "unread_responses_total", "Responses cut off unread."),
             revision: gauge(r, "revision", "Configuration revision in force."),
             hosts_alive: gauge(r, "hosts_alive", "Hosts that count as alive."),
             slots_held: gauge(r, "slots_held", "Bucket slots held."),
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -100,7 +100,7 @@
         }
     }
     if let Some(Complete { head, body, .. }) = failed {
-        return Ok(body::complete(build_response(&head), body));
+        return Ok(body::complete(&entry.shared, build_response(&head), body));
     }
     let refusal = build_refusal(&routed, history);
     Err(Refusal { retry_after: refusal.retry_after.max(held_back), ..refusal })
@@ -239,5 +239,5 @@
         ),
     );
     entry.shared.metrics.requests.with_label_values(&["routed", "answered"]).inc();
-    body::complete(build_response(&head), body)
+    body::complete(&entry.shared, build_response(&head), body)
 }
--- a/crates/damaskhatch/src/relay/generate.rs
+++ b/crates/damaskhatch/src/relay/generate.rs
@@ -77,7 +77,7 @@
                 &routed.label,
                 format_args!("event=answered status={status} framing={framing}"),
             );
-            Ok(body::complete(build_response(&head), body))
+            Ok(body::complete(&entry.shared, build_response(&head), body))
         }
         Err(failure) => {
             record_failure(entry, routed, attempt, &failure).await;
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -261,6 +261,8 @@
             "the tokens that a team may get beyond its rate and burst within a few seconds";
         memory_mb: u64, Some("128"), within(32..=1_048_576),
             "the memory that the process may use, in MiB, at most the machine's; three fifths are for bodies";
+        unread_ms: u64, Some("20000"), within(1_000..=3_600_000),
+            "how long a caller may take nothing of what is sent to it, in milliseconds; then it is cut off";
         drain_s: u64, Some("300"), within(1..=86_400),
             "the time for a graceful stop, in seconds, after which requests are ended";
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -42,6 +42,9 @@
 /// The longest response head, and the most bytes read ahead on a connection.
 const MAX_READ_BYTES: usize = 64 << 10;
 
+/// The largest code of a status; the HTTP library accepts any of three digits from 100 on.
+const MAX_STATUS: u16 = 599;
+
 /// Why an exchange failed.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
@@ -144,13 +147,16 @@
     /// Splits a response whose connection `driver` drives.
     ///
     /// Fails for a switch of protocols, which ends HTTP on the connection: no request asks for one, and
-    /// it is not the final response.
+    /// it is not the final response. Fails too for a status of no class, of which nothing can be believed.
     fn new(response: http::Response<Incoming>, driver: Driver, guard: Guard) -> Result<Self> {
         guard.record_progress();
         let (head, body) = response.into_parts();
         if head.status.is_informational() {
             return Err(Error::Broken(format!("no final response after status {}", head.status)));
         }
+        if head.status.as_u16() > MAX_STATUS {
+            return Err(Error::Broken(format!("no status has the code {}", head.status.as_u16())));
+        }
         let framing = Framing::new(&head, body.size_hint().exact());
         let connection = Connection::New;
         let driver = Some(driver);
--- a/crates/exchange/src/memory.rs
+++ b/crates/exchange/src/memory.rs
@@ -34,6 +34,11 @@
         self.used.load(Ordering::Relaxed)
     }
 
+    /// The number of bytes that bodies may use.
+    pub const fn total(&self) -> usize {
+        self.total
+    }
+
     /// A share without bytes.
     pub fn share(&self) -> Share {
         Share { budget: self.clone(), bytes: 0 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod strike;
 pub mod suspect;
 pub mod tenure;
+pub mod unread;
 
 pub mod prelude {
     //! The types that nearly every module of the workspace uses.
