--- a/crates/policy/tests/uneven.rs
+++ b/crates/policy/tests/uneven.rs
@@ -12,7 +12,7 @@
 use damaskhatch_policy::sheet::Role;
 use damaskhatch_policy::speed::{self, Table};
 use proptest::prelude::*;
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 /// The prompt tokens that a usual engine reads in a millisecond.
