Let urgent requests have room before others

Cause: priorities ordered the engines' own queues and limited upstreams only. Requests that found no room asked again every 60 ms by themselves, so room went to whoever asked first. The backlog of plain services, the retry budget and the times to come back knew no priority either.

Change: where the configuration gives the requests of a service different priorities, policy::contest orders those that wait on one host by priority, by teams with few grants and by age; each priority and team is owed a quarter of the share of all, and a request that others have passed six times holds them back for at most 400 ms. relay::turns applies it; the reservation moved from relay::pair to relay::reserve. The backlog refuses the less urgent from a lower predicted latency on, the last part of the retry budget is left to the urgent, and the others come back later.

In policy, contest (6), backlog (5), urgency (4) and relay (17) pass.

--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -28,6 +28,7 @@
 use damaskhatch_exchange::{self as exchange, Framing, HeaderMap, StatusCode};
 use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::backlog::Backlog;
+use damaskhatch_policy::contest::Contest;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::length::Forecast;
 use damaskhatch_policy::outlier::Outliers;
@@ -40,6 +41,7 @@
 
 use crate::control::Control;
 use crate::control::strikes::{Record, Served};
+use crate::relay::request::Routed;
 use crate::shared::Shared;
 use crate::upstream::statement::{self, Run};
 use hold::InFlight;
@@ -74,6 +76,8 @@
     pub lengths: Forecast,
     /// The backlog, used if the service is plain.
     pub backlog: Backlog,
+    /// The order of the requests that wait for room, used if the service is a model.
+    pub contest: Contest,
 }
 
 impl Default for Learned {
@@ -82,6 +86,7 @@
             budget: Budget::new(&retry::SERVICE, Instant::now()),
             lengths: Forecast::default(),
             backlog: Backlog::default(),
+            contest: Contest::default(),
         }
     }
 }
@@ -119,8 +124,11 @@
 
     /// Spends one retry of a routed service's budget; returns false if less than one is
     /// available.
-    pub fn spend_service_retry(&self, service: Service) -> bool {
-        self.with_learned(service, |learned| learned.budget.spend(Instant::now()))
+    ///
+    /// The last part is left to the most urgent requests of the service.
+    pub fn spend_service_retry(&self, routed: &Routed) -> bool {
+        let rank = routed.rank(&self.shared.snapshot());
+        self.with_learned(routed.service, |learned| learned.budget.spend_as(rank, Instant::now()))
     }
 
     /// Calls `act` with the budget and statistics of a routed service, under their lock.
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -46,6 +46,8 @@
     pub limits: GaugeVec,
     /// Requests of this host to limited upstreams, by upstream and by whether one was permitted.
     pub limited: IntCounterVec,
+    /// Requests that waited for room in turn with others, by priority and result.
+    pub turns: IntCounterVec,
     /// What upstreams newly said of themselves to this host, by kind.
     pub statements: IntCounterVec,
     /// Choices for which upstreams were left out, by reason.
@@ -125,6 +127,12 @@
                 "Requests to limited upstreams.",
                 &["upstream", "result"],
             ),
+            turns: counters(
+                r,
+                "waits_in_turn_total",
+                "Requests that waited in turn.",
+                &["priority", "result"],
+            ),
             statements: counters(
                 r,
                 "upstream_statements_total",
--- a/crates/damaskhatch/src/relay/attempt.rs
+++ b/crates/damaskhatch/src/relay/attempt.rs
@@ -267,7 +267,7 @@
 ///
 /// Returns false if the time limit has passed, or if the route or the budget allows no retry.
 pub fn try_acquire_retry(entry: &Entry, routed: &Routed, history: History) -> bool {
-    may_retry(routed, history) && entry.spend_service_retry(routed.service)
+    may_retry(routed, history) && entry.spend_service_retry(routed)
 }
 
 /// An upstream to which a request was sent.
--- a/crates/damaskhatch/src/relay/forward.rs
+++ b/crates/damaskhatch/src/relay/forward.rs
@@ -50,7 +50,7 @@
             }
         };
         // Spent once the upstream may get the request, so that none is spent in vain.
-        if history.attempts > 0 && !entry.spend_service_retry(routed.service) {
+        if history.attempts > 0 && !entry.spend_service_retry(&routed) {
             break;
         }
         if let Err(refusal) = check_admission(entry, &routed, history) {
@@ -110,8 +110,9 @@
 /// for the route's target latency.
 fn check_backlog(entry: &Entry, routed: &Routed) -> Result<(), Refusal> {
     let (now, target) = (Instant::now(), routed.route.target_latency);
+    let rank = routed.rank(&entry.shared.snapshot());
     let predicted = entry.with_learned(routed.service, |learned| {
-        let accepts = learned.backlog.accepts(target, rand::random(), now);
+        let accepts = learned.backlog.accepts_as(rank, target, rand::random(), now);
         (!accepts).then(|| learned.backlog.predicted_latency(now).unwrap_or_default())
     });
     let Some(predicted) = predicted else { return Ok(()) };
@@ -123,7 +124,10 @@
             target.as_millis()
         ),
     );
-    Err(build_refusal(routed, History::default()))
+    let refusal = build_refusal(routed, History::default());
+    // The most urgent may return first.
+    let later = refusal.retry_after.map(|wait| admission::stretch(wait, rank));
+    Err(Refusal { retry_after: later, ..refusal })
 }
 
 /// The refusal of a request that no further upstream is tried for.
--- a/crates/damaskhatch/src/relay/mod.rs
+++ b/crates/damaskhatch/src/relay/mod.rs
@@ -17,8 +17,10 @@
 pub mod pair;
 pub mod permit;
 pub mod request;
+pub mod reserve;
 pub mod response;
 pub mod stream;
+pub mod turns;
 pub mod version;
 
 use actix_web::http::StatusCode;
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -11,30 +11,22 @@
 use std::collections::HashSet;
 
 use damaskhatch_exchange::{Connection, Response};
-use damaskhatch_policy::admission;
 use damaskhatch_policy::attempt::{History, Outcome};
-use damaskhatch_policy::availability::Standing;
-use damaskhatch_policy::placement::{self, Load, Loads};
+use damaskhatch_policy::placement::{self, Load};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
-use damaskhatch_policy::sheet::{EngineTerms, Role};
+use damaskhatch_policy::sheet::Role;
 
 use super::attempt::{Attempt, Failure, check_admission, record_failure, send, try_acquire_retry};
-use super::candidates::{self, Candidates};
 use super::held::{Export, Reservation};
 use super::permit::{self, Permit, Terms};
 use super::request::{Routed, Tokens};
+use super::reserve::{reserve, return_after};
 use super::version::{check_version, pin_version};
 use crate::entry::Entry;
 use crate::entry::refusal::Refusal;
 use crate::headers;
 
-/// The maximum number of decode engines that are tried for a reservation in one round.
-const MAX_RESERVATIONS_PER_ROUND: usize = 3;
-/// The load by which a stream that waits for an engine of its version is counted.
-const ONE_REQUEST: Load = Load { requests: 1, memory_tokens: 0, prefill_tokens: 0 };
-/// The mean pause between two rounds while no engine has room, varied at random by up to half.
-const ROUND_PAUSE: Duration = Duration::from_millis(60);
 /// The maximum number of prefill calls; if all fail, the decode engine runs the prefill itself.
 const MAX_PREFILL_ATTEMPTS: usize = 2;
 /// The maximum length of the response to a prefill, in bytes.
@@ -163,178 +155,12 @@
         }
         if !try_acquire_retry(entry, routed, history) {
             let kind = history.failure_kind(Instant::now() >= routed.limit);
-            return Err(Refusal::after(kind, retry_after()).with_may_have_run(history.may_have_run));
+            let wait = return_after(entry, routed);
+            return Err(Refusal::after(kind, wait).with_may_have_run(history.may_have_run));
         }
     }
 }
 
-/// Reserves at the least loaded decode engine that has room, or refuses the request.
-async fn reserve(
-    entry: &Entry,
-    routed: &Routed,
-    terms: EngineTerms,
-    progress: &Progress,
-) -> Result<(Reservation, Permit), Refusal> {
-    let Tokens { prompt, max_output, hint } = routed.tokens.unwrap_or_default();
-    let capacity = terms.memory_tokens;
-    let need = entry.with_learned(routed.service, |learned| {
-        let tokens = (prompt, max_output);
-        admission::need(&learned.lengths, tokens, hint, progress.tokens_done, capacity)
-    });
-    let target = routed.route.target_latency;
-    let has_begun = progress.last_event.is_some() || routed.is_resumed(entry);
-    let patience = if has_begun {
-        admission::resumption_patience(target)
-    } else {
-        admission::patience(target)
-    };
-    let version = progress.version.filter(|_| has_begun);
-    let _waiting = version.map(|version| entry.shared.resuming.track(version, ONE_REQUEST));
-    // For a resumed stream the target applies to the pause, not to the time since the request.
-    let since = progress.last_event.map_or(routed.arrived_at, |_| Instant::now());
-    let give_up_at = (since + patience).min(routed.limit);
-    let mut is_first = true;
-    loop {
-        let loads = entry.known_loads();
-        let Choice { engines, paused_until, are_evacuated } =
-            decode_engines(entry, routed, &loads, progress, is_first);
-        is_first = false;
-        if let Some(until) = paused_until.filter(|until| *until >= give_up_at) {
-            let wait = candidates::retry_after(until, Instant::now());
-            return Err(Refusal::after(Kind::Overloaded, wait));
-        }
-        if are_evacuated {
-            // The operator decides when they are used again, which no request can wait for.
-            entry.shared.journal.record(&routed.label, format_args!("event=all_evacuated"));
-            return Err(Refusal::after(Kind::Overloaded, retry_after()));
-        }
-        if engines.is_empty() && !is_in_service(entry, routed, progress.version) {
-            // Engines of other versions cannot go on with what this one began.
-            entry.shared.journal.record(&routed.label, format_args!("event=no_engine_of_version"));
-            return Err(Refusal::after(Kind::Overloaded, retry_after()));
-        }
-        let total = need.memory + need.headroom;
-        let fanout = placement::reservation_fanout(
-            &engines,
-            &loads,
-            total,
-            capacity,
-            MAX_RESERVATIONS_PER_ROUND,
-        );
-        let ranked: Vec<&registry::Entry> = engines.iter().collect();
-        let mut rest: &[&registry::Entry] = &ranked;
-        let mut asked = 0;
-        while asked < fanout {
-            let limits = Terms::of(entry, routed, give_up_at);
-            let chosen = if asked == 0 {
-                permit::choose(entry, rest, limits).await
-            } else {
-                permit::choose_now(entry, rest, limits).await
-            };
-            let (engine, permit) = match chosen {
-                Ok(chosen) => chosen,
-                // Their limits allow none of them a request soon enough.
-                Err(wait) if asked == 0 && !engines.is_empty() => {
-                    permit::log_held_back(entry, routed, engines.len(), wait);
-                    return Err(Refusal::after(Kind::Overloaded, wait.max(retry_after())));
-                }
-                Err(_wait) => break,
-            };
-            asked += 1;
-            if let Some(reservation) =
-                Reservation::acquire(entry, &engine, terms, need, routed).await
-            {
-                return Ok((reservation, permit));
-            }
-            let at = rest.iter().position(|other| other.tag == engine.tag).unwrap_or(0);
-            rest = &rest[at + 1..];
-        }
-        let next = Instant::now() + ROUND_PAUSE.mul_f64(0.5 + rand::random::<f64>());
-        if next >= give_up_at {
-            let engines = engines.len();
-            entry.shared.journal.record(
-                &routed.label,
-                format_args!(
-                    "event=no_room engines={engines} memory_tokens={} headroom_tokens={}",
-                    need.memory, need.headroom
-                ),
-            );
-            return Err(Refusal::after(Kind::Overloaded, retry_after()));
-        }
-        tokio::time::sleep_until(next).await;
-    }
-}
-
-/// Whether any engine of the version that a response is bound to is registered and not leaving.
-///
-/// Where there is one, decode engines that have crashed come back with the same version.
-fn is_in_service(entry: &Entry, routed: &Routed, version: Option<Tag>) -> bool {
-    let service = entry.shared.snapshot().services[routed.service].tag;
-    let registry = entry.shared.upstreams();
-    let availability = &entry.shared.availability;
-    let stays = |engine: &&registry::Entry| {
-        !matches!(availability.standing_of(engine), Standing::Leaving | Standing::Evacuated)
-    };
-    let mut staying = registry.usable(service).filter(stays);
-    version.is_none_or(|version| staying.any(|own| own.software == version))
-}
-
-/// Retry delay for a caller refused for lack of room; random, so that retries do not coincide.
-fn retry_after() -> Duration {
-    admission::MIN_RETRY_AFTER + admission::RETRY_AFTER_JITTER.mul_f64(rand::random())
-}
-
-/// The decode engines that may be asked for a reservation.
-#[derive(Debug)]
-struct Choice {
-    /// The engines, ranked by placement.
-    engines: Vec<registry::Entry>,
-    /// When the first may be asked, if all have asked for a pause.
-    paused_until: Option<Instant>,
-    /// Whether all are in evacuated domains.
-    are_evacuated: bool,
-}
-
-/// The usable decode engines, ranked by placement.
-///
-/// Of the version that a response is bound to, ejected ones count too if there is no other.
-fn decode_engines(
-    entry: &Entry,
-    routed: &Routed,
-    loads: &Loads,
-    progress: &Progress,
-    is_recorded: bool,
-) -> Choice {
-    let registry = entry.shared.upstreams();
-    let service = entry.shared.snapshot().services[routed.service].tag;
-    let now = Instant::now();
-    let outliers = entry.outliers();
-    let candidates = entry.candidates(&registry, service, |e| {
-        e.role == Some(Role::Decode)
-            && !progress.excluded.contains(&e.tag)
-            && progress.version.is_none_or(|version| e.software == version)
-    });
-    if is_recorded {
-        candidates.record(entry, &routed.label);
-    }
-    let are_evacuated = candidates.are_evacuated();
-    let Candidates { entries: usable, paused_until, .. } = candidates;
-    let mut healthy: Vec<_> =
-        usable.iter().copied().filter(|e| !outliers.is_ejected(e.tag, now)).collect();
-    if progress.version.is_some() {
-        healthy = if healthy.is_empty() { usable } else { healthy };
-    } else {
-        // New streams leave the engines of a version to the streams that can only go on there.
-        let resuming = entry.shared.resuming.snapshot();
-        let is_free = |e: &&registry::Entry| !resuming.contains_key(&e.software);
-        let free: Vec<_> = healthy.iter().copied().filter(is_free).collect();
-        healthy = if free.is_empty() { healthy } else { free };
-    }
-    let domain = entry.shared.domain;
-    let ranked = placement::rank_decode(healthy.into_iter(), loads, domain, &mut rand::rng());
-    Choice { engines: ranked.into_iter().cloned().collect(), paused_until, are_evacuated }
-}
-
 /// Runs the prefill on a prefill engine; `None` leaves it to the decode engine.
 async fn prefill(
     entry: &Entry,
@@ -374,7 +200,7 @@
 
         // All calls after the first are charged to the retry budget, however the first ended.
         if std::mem::replace(&mut progress.was_prefill_requested, true)
-            && !entry.spend_service_retry(routed.service)
+            && !entry.spend_service_retry(routed)
         {
             return Ok(None);
         }
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -9,6 +9,7 @@
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::routing::Route;
 use damaskhatch_policy::strike::{self, Fingerprints, MAX_PARTS};
+use damaskhatch_policy::urgency;
 
 use crate::entry::access::{Caller, digest, identify};
 use crate::entry::charge::charge;
@@ -97,6 +98,11 @@
         let own = team.and_then(|team| snapshot.teams.get(team)).and_then(|team| team.priority);
         own.unwrap_or(self.route.priority)
     }
+
+    /// The place of its priority among those of its service, from 0 for the most urgent to 1.
+    pub fn rank(&self, snapshot: &Snapshot) -> f64 {
+        urgency::rank(snapshot, self.service, self.priority(snapshot))
+    }
 }
 
 /// Routes, authenticates, reads and charges a request, or refuses it.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -22,6 +22,10 @@
 /// The upper bound of the random time added to [`MIN_RETRY_AFTER`].
 pub const RETRY_AFTER_JITTER: Duration = Duration::from_millis(1_500);
 
+/// How much longer the least urgent requests of a service are told to wait than the most urgent
+/// ones, as a factor less 1.
+const LESS_URGENT_RETURN: f64 = 1.0;
+
 /// The fraction of its remaining tokens, up to the maximum, that a response is expected to produce
 /// when it is already longer than forecast.
 const OVERRUN_FRACTION: f64 = 0.5;
@@ -60,6 +64,19 @@
     Need { memory, headroom: headroom.min(capacity.saturating_sub(memory)) }
 }
 
+/// When a request that was refused for lack of room may come back.
+///
+/// `sample` is uniform in [0, 1), so that returns do not coincide. The less urgent return later and
+/// over a longer time; `rank` is the request's place among the priorities of its service.
+pub fn return_after(rank: f64, sample: f64) -> Duration {
+    stretch(MIN_RETRY_AFTER + RETRY_AFTER_JITTER.mul_f64(sample), rank)
+}
+
+/// The wait of a request with the place `rank`, where the most urgent are told to wait for `wait`.
+pub fn stretch(wait: Duration, rank: f64) -> Duration {
+    wait.mul_f64(1.0 + rank * LESS_URGENT_RETURN)
+}
+
 /// How long a request may wait for memory, given its route's first-token target.
 pub fn patience(target: Duration) -> Duration {
     target.mul_f64(PATIENCE_FRACTION)
--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -23,6 +23,11 @@
 const ACCEPT_ALL_FRACTION: f64 = 0.4;
 /// The predicted latency, as a fraction of the target, from which all requests are refused.
 const REFUSE_ALL_FRACTION: f64 = 0.8;
+/// The part by which both fractions are nearer to the latency without a queue for the least urgent
+/// requests of a service.
+const LESS_URGENT_PART: f64 = 0.5;
+/// The part of the accepted fraction of the most urgent requests that all others get at least.
+const FLOOR: f64 = 0.25;
 
 plain! { value
     /// The load of an upstream, as reported in a response.
@@ -87,8 +92,26 @@
     ///
     /// Accepts every request before the first report.
     pub fn accepts(&self, target: Duration, sample: f64, now: Instant) -> bool {
+        self.accepts_as(0.0, target, sample, now)
+    }
+
+    /// Whether to accept a request with the place `rank` among the priorities of the service, from 0 for
+    /// the most urgent to 1; as [`Self::accepts`] does for the most urgent.
+    ///
+    /// The less urgent are refused from
+    /// a lower predicted latency on, so that the queues have room for the urgent ones; but never
+    /// for the time that the request takes without any queue.
+    pub fn accepts_as(&self, rank: f64, target: Duration, sample: f64, now: Instant) -> bool {
         let Some(predicted) = self.predicted_latency(now) else { return true };
-        let fraction = predicted.as_secs_f64() / target.as_secs_f64().max(f64::EPSILON);
-        sample < (REFUSE_ALL_FRACTION - fraction) / (REFUSE_ALL_FRACTION - ACCEPT_ALL_FRACTION)
+        let target = target.as_secs_f64().max(f64::EPSILON);
+        let fraction = predicted.as_secs_f64() / target;
+        let accepted = |accept_all: f64, refuse_all: f64| {
+            ((refuse_all - fraction) / (refuse_all - accept_all)).clamp(0.0, 1.0)
+        };
+        let most_urgent = accepted(ACCEPT_ALL_FRACTION, REFUSE_ALL_FRACTION);
+        let unqueued = (self.service_time.unwrap_or_default() / target).min(ACCEPT_ALL_FRACTION);
+        let nearer = |limit: f64| limit - (limit - unqueued) * rank * LESS_URGENT_PART;
+        let own = accepted(nearer(ACCEPT_ALL_FRACTION), nearer(REFUSE_ALL_FRACTION));
+        sample < own.max(FLOOR * most_urgent)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod backlog;
 pub mod bucket;
 pub mod config;
+pub mod contest;
 pub mod ending;
 pub mod error;
 pub mod evacuation;
@@ -38,6 +39,7 @@
 pub mod strike;
 pub mod suspect;
 pub mod tenure;
+pub mod urgency;
 
 pub mod prelude {
     //! The types that nearly every module of the workspace uses.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -29,6 +29,9 @@
 /// The retries that hosts have accumulated come on top, so cap and refill are small.
 pub const SERVICE: Policy = Policy { ratio: 0.15, floor: 3.0, cap: 5.0, refill_per_s: 0.1 };
 
+/// The part of a budget's floor that is left to the most urgent requests, when the least urgent ask.
+const KEPT_PART: f64 = 0.4;
+
 /// The maximum number of attempts for one request, including the first.
 pub const MAX_ATTEMPTS: u32 = 4;
 
@@ -75,13 +78,21 @@
 
     /// Spends one retry; returns false if less than one is available.
     pub fn spend(&mut self, now: Instant) -> bool {
+        self.spend_as(0.0, now)
+    }
+
+    /// Spends one retry for a request with the place `rank` among the priorities of its service, from
+    /// 0 for the most urgent to 1.
+    ///
+    /// The last part of the budget is left to the more urgent ones.
+    pub fn spend_as(&mut self, rank: f64, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         let Policy { floor, refill_per_s, .. } = self.policy;
         if self.level < floor {
             self.level = (self.level + elapsed * refill_per_s).min(floor);
         }
-        if self.level < 1.0 {
+        if self.level < 1.0 + rank * KEPT_PART * floor {
             return false;
         }
         self.level -= 1.0;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -112,6 +112,11 @@
         self.count
     }
 
+    /// All routes, in any order.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
     /// Whether the table has no routes.
     pub const fn is_empty(&self) -> bool {
         self.count == 0
--- a/crates/policy/tests/backlog.rs
+++ b/crates/policy/tests/backlog.rs
@@ -138,3 +138,36 @@
         assert_eq!(Report::parse(wrong), None, "{wrong}");
     }
 }
+
+/// A backlog with this many requests waiting for each slot, each of which takes 60 ms.
+fn backlog_of(waiting: u32, now: Instant) -> Backlog {
+    let mut backlog = Backlog::default();
+    let took = Duration::from_millis(60 * (1 + u64::from(waiting)));
+    backlog.observe(Report { running: 6, waiting: waiting * 6, slots: 6 }, took, now);
+    backlog
+}
+
+/// The fraction of requests that are accepted.
+fn accepted(backlog: &Backlog, rank: f64, now: Instant) -> f64 {
+    let samples = (0..1_000).map(|sample| f64::from(sample) / 1_000.0);
+    let accepted = samples.filter(|sample| backlog.accepts_as(rank, TARGET, *sample, now));
+    accepted.count() as f64 / 1_000.0
+}
+
+/// Guards against less urgent requests that are accepted more often than urgent ones or refused while
+/// nothing waits, and against an order in which they are starved.
+#[test]
+fn less_urgent_requests_are_refused_first_and_never_starved() {
+    let now = Instant::now();
+    for waiting in 0..6 {
+        let backlog = backlog_of(waiting, now);
+        let shares = [0.0, 0.5, 1.0].map(|rank| accepted(&backlog, rank, now));
+        assert!(shares.is_sorted_by(|urgent, other| urgent >= other), "{waiting}: {shares:?}");
+        assert!(shares[2] >= 0.25 * shares[0] - 0.001, "{waiting}: {shares:?}");
+        if waiting == 0 {
+            assert!(shares.iter().all(|share| *share >= 1.0), "{shares:?}");
+        }
+    }
+    let backlog = backlog_of(2, now);
+    assert!(accepted(&backlog, 1.0, now) < accepted(&backlog, 0.0, now));
+}
