Collect the priorities of a service once for each configuration

The rank of a request looked at all routes and all teams, for every plain request and every retry: work that grows with the configuration, on the path of each request, also where all priorities are the same.

test derives them from rows, for teams, for routes without weight and over three revisions.

--- a/crates/policy/src/backlog.rs
+++ b/crates/policy/src/backlog.rs
@@ -98,9 +98,8 @@
     /// Whether to accept a request with the place `rank` among the priorities of the service, from 0 for
     /// the most urgent to 1; as [`Self::accepts`] does for the most urgent.
     ///
-    /// The less urgent are refused from
-    /// a lower predicted latency on, so that the queues have room for the urgent ones; but never
-    /// for the time that the request takes without any queue.
+    /// The less urgent are refused from a lower predicted latency on, so that the queues have room for the
+    /// urgent ones; but never for the time that the request takes without any queue.
     pub fn accepts_as(&self, rank: f64, target: Duration, sample: f64, now: Instant) -> bool {
         let Some(predicted) = self.predicted_latency(now) else { return true };
         let target = target.as_secs_f64().max(f64::EPSILON);
--- a/crates/policy/src/config/snapshot.rs
+++ b/crates/policy/src/config/snapshot.rs
@@ -1,6 +1,6 @@
 //! The indexed form of one revision, which the traffic threads read.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use crate::prelude::*;
 use crate::routing::Table;
@@ -59,6 +59,8 @@
     pub engines: Option<EngineTerms>,
     /// How much its upstreams bear while they are cold; `None` if that makes no difference.
     pub warming: Option<Warming>,
+    /// The priorities that its routes, and the teams, give to its requests; empty without routes.
+    pub priorities: BTreeSet<u8>,
 }
 
 /// An upstream; one that left the sheet keeps its index but belongs to no service.
@@ -176,9 +178,28 @@
         let mut next = Self { revision, withdrawn: self.withdrawn.clone(), ..self.indices_only() };
         rows.iter().for_each(|row| next.add_named(row));
         rows.iter().for_each(|row| next.add_relation(row));
+        next.index_priorities();
         next
     }
 
+    /// Collects the priorities of each service, so that a request need not look at all routes and teams.
+    fn index_priorities(&mut self) {
+        for route in self.routes.iter() {
+            for target in route.targets.iter().filter(|target| target.weight > 0.0) {
+                if let Some(service) = self.names.services.get(&Tag::of(&target.service)) {
+                    self.services[*service].priorities.insert(route.priority);
+                }
+            }
+        }
+        let of_teams: BTreeSet<u8> =
+            self.teams.iter().filter_map(|(_, team)| team.priority).collect();
+        for (_, service) in self.services.iter_mut() {
+            if !service.priorities.is_empty() {
+                service.priorities.extend(&of_teams);
+            }
+        }
+    }
+
     /// Returns a copy with every index but without keys, routes, limits, grants and upstreams.
     fn indices_only(&self) -> Self {
         let mut kept = self.clone();
@@ -193,6 +214,7 @@
             service.kind = None;
             service.open = false;
             service.upstreams.clear();
+            service.priorities.clear();
         }
         kept
     }
@@ -232,6 +254,7 @@
                     upstreams: Vec::new(),
                     engines: None,
                     warming: *warming,
+                    priorities: BTreeSet::new(),
                 };
                 upsert(&mut self.names.services, &mut self.services, tag, entry);
             }
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -11,26 +11,12 @@
 /// The place of a priority among those that the requests of a service can have: 0 for the most urgent, and
 /// for each where there is only one, up to 1 for the least urgent.
 pub fn rank(snapshot: &Snapshot, service: Service, priority: u8) -> f64 {
-    place(&priorities(snapshot, service), priority)
+    place(&snapshot.services[service].priorities, priority)
 }
 
 /// Whether the requests of a service can have different priorities.
 pub fn differs(snapshot: &Snapshot, service: Service) -> bool {
-    priorities(snapshot, service).len() > 1
-}
-
-/// The priorities that the routes of a service and the teams give to its requests.
-pub fn priorities(snapshot: &Snapshot, service: Service) -> BTreeSet<u8> {
-    let name = &snapshot.services[service].name;
-    let leads_there = |route: &&crate::routing::Route| {
-        route.targets.iter().any(|target| target.service == *name && target.weight > 0.0)
-    };
-    let mut own: BTreeSet<u8> =
-        snapshot.routes.iter().filter(leads_there).map(|route| route.priority).collect();
-    if !own.is_empty() {
-        own.extend(snapshot.teams.iter().filter_map(|(_, team)| team.priority));
-    }
-    own
+    snapshot.services[service].priorities.len() > 1
 }
 
 /// The place of a priority in a set, as [`rank`] defines it.
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use damaskhatch_policy::config::{Applied, Head, State};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, Budget};
+use damaskhatch_policy::routing::{Repeat, Route, Target};
+use damaskhatch_policy::sheet::{Kind, Row};
 use damaskhatch_policy::{admission, urgency};
 
 /// Guards against requests that are treated as less urgent although all have one priority.
@@ -48,3 +51,63 @@
         assert_eq!(urgent, admission::MIN_RETRY_AFTER + spread);
     }
 }
+
+/// Guards against priorities of an earlier revision, of other services or of routes without weight that
+/// make requests differ.
+#[test]
+fn the_priorities_of_a_service_follow_its_routes_and_the_teams() {
+    let service = |name: &str| Row::Service {
+        name: name.to_owned(),
+        kind: Kind::Plain,
+        open: false,
+        repeatable: false,
+        warming: None,
+    };
+    let route = |prefix: &str, priority: u8, targets: &[(&str, f64)]| {
+        let targets = targets.iter();
+        Row::Route(Route {
+            name: prefix.to_owned(),
+            host: "app.example".to_owned(),
+            prefix: prefix.to_owned(),
+            repeat: Repeat::Once,
+            time_limit: Duration::from_secs(2),
+            target_latency: Duration::from_millis(300),
+            priority,
+            targets: targets
+                .map(|(service, weight)| Target { service: (*service).to_owned(), weight: *weight })
+                .collect(),
+            max_attempts: 1,
+            open: false,
+            homes: Vec::new(),
+        })
+    };
+    let team = |priority| {
+        let (name, rate, burst) = ("t".to_owned(), 1.0, 1.0);
+        let (team, plain_tokens, is_limited, homes) = (name.clone(), 1, false, Vec::new());
+        let tariff = Row::Tariff { team, plain_tokens, is_limited, priority, homes };
+        [Row::Team { name, rate, burst }, tariff]
+    };
+    let services = [service("a"), service("b"), service("idle")];
+    let routes = [
+        route("/one/", 2, &[("a", 1.0), ("b", 0.0)]),
+        route("/two/", 5, &[("a", 1.0), ("b", 1.0)]),
+    ];
+    let mut state = State::default();
+    let mut ranks = |revision, rows: Vec<Row>| {
+        assert_eq!(state.apply(Head { revision, ..Head::default() }, rows), Applied::InForce);
+        let snapshot = state.snapshot();
+        ["a", "b", "idle"].map(|name| {
+            let service = snapshot.service(Tag::of(name)).expect("the service is known");
+            let differs = urgency::differs(&snapshot, service);
+            let percents = [2, 5, 9].map(|p| (urgency::rank(&snapshot, service, p) * 100.0) as u32);
+            (differs, percents)
+        })
+    };
+    let same = (false, [0, 0, 0]);
+    let rows = [&services[..], &routes, &team(None)].concat();
+    assert_eq!(ranks(1, rows), [(true, [0, 100, 100]), same, same]);
+    let rows = [&services[..], &routes, &team(Some(9))].concat();
+    assert_eq!(ranks(2, rows), [(true, [0, 50, 100]), (true, [0, 0, 100]), same]);
+    let rows = [&services[..], &routes[..1], &team(None)].concat();
+    assert_eq!(ranks(3, rows), [same, same, same]);
+}
