Look at the loads once for each prefill, and keep nothing for upstreams that state no slowness

The known loads of all hosts were added up twice for a prefill, for the choice and for what is queued at the chosen engine; a sample of an upstream that has stated nothing made an entry that nothing reads; the set of evacuated domains was copied with each heartbeat also where none has ever been evacuated. Choices and samples are as before, but that what is queued is read before the wait for a permit, which the choice is based on.

--- a/crates/damaskhatch/src/control/evacuation.rs
+++ b/crates/damaskhatch/src/control/evacuation.rs
@@ -43,8 +43,9 @@
 pub fn statement(shared: &Shared) -> Option<Body> {
     let availability = shared.availability.lock();
     let table = &availability.evacuations;
-    let domains = table.domains().collect();
-    table.has_been_used().then(|| Body::Evacuations { version: table.version(), domains })
+    let statement =
+        || Body::Evacuations { version: table.version(), domains: table.domains().collect() };
+    table.has_been_used().then(statement)
 }
 
 /// Logs and counts the domains whose state has changed.
--- a/crates/damaskhatch/src/relay/pair.rs
+++ b/crates/damaskhatch/src/relay/pair.rs
@@ -175,6 +175,7 @@
         // The first of two engines may have crashed under the request.
         check_admission(entry, routed, progress.history)?;
         let now = Instant::now();
+        let loads = entry.known_loads();
         let ranked = {
             let outliers = entry.outliers();
             let candidates = entry.candidates(&registry, routed, |e| {
@@ -186,7 +187,7 @@
             });
             drop(outliers);
             candidates.record(entry, &routed.label);
-            let (loads, domain) = (entry.known_loads(), entry.shared.domain);
+            let domain = entry.shared.domain;
             let tags = candidates.entries.iter().map(|engine| engine.tag);
             let slowness = entry.shared.speeds.lock().slowness(tags, now);
             let usable = candidates.entries.into_iter();
@@ -204,7 +205,7 @@
         {
             return Ok(None);
         }
-        let ahead = entry.known_loads().get(&engine.tag).map_or(0, |load| load.prefill_tokens);
+        let ahead = loads.get(&engine.tag).map_or(0, |load| load.prefill_tokens);
         let load = Load { prefill_tokens: prompt, ..Load::default() };
         let _guard = entry.shared.loads.track(engine.tag, load);
         let sent_at = Instant::now();
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -133,7 +133,7 @@
         took: Duration,
         now: Instant,
     ) {
-        if units <= 0.0 || took.is_zero() {
+        if units <= 0.0 || took.is_zero() || !self.known.contains_key(&upstream) {
             return;
         }
         let Some(known) = self.current(upstream, started_ms, now) else { return };
