Ask in one place whether an upstream is closed to new requests, and follow a list in one place

Three places compared a standing with the same two values; the three replies that bring a list of upstreams ended in the same lines; the limits' merge checked again what its caller had checked. The wait for a caller that reads nothing is a layer of its own, and not hidden in the one that closes connections.

--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -193,13 +193,12 @@
             if reply.is_err() {
                 actor.misses += 1;
             }
-            match reply {
+            let (version, is_partial, changes) = match reply {
                 Ok(Body::Entries { version, is_partial, mut changes, details }) => {
                     for ((_, change), detail) in changes.iter_mut().zip(details) {
                         detail.complete(change);
                     }
-                    let since = is_partial.then_some(since);
-                    actor.listing.do_send(Offer { version, since, changes });
+                    (version, is_partial, changes)
                 }
                 Ok(Body::Upstreams { version, is_partial, mut changes, software }) => {
                     for ((_, change), software) in changes.iter_mut().zip(software) {
@@ -207,16 +206,20 @@
                             entry.software = software;
                         }
                     }
-                    let since = is_partial.then_some(since);
-                    actor.listing.do_send(Offer { version, since, changes });
+                    (version, is_partial, changes)
                 }
                 Ok(Body::Listing { version, is_partial, changes }) => {
-                    let since = is_partial.then_some(since);
-                    actor.listing.do_send(Offer { version, since, changes });
+                    (version, is_partial, changes)
                 }
-                Ok(_other) => log::warn!("event=listing_not_pulled peer={from} reason=not_a_list"),
-                Err(error) => log::info!("event=listing_not_pulled peer={from} error={error}"),
-            }
+                Ok(_other) => {
+                    return log::warn!("event=listing_not_pulled peer={from} reason=not_a_list");
+                }
+                Err(error) => {
+                    return log::info!("event=listing_not_pulled peer={from} error={error}");
+                }
+            };
+            let since = is_partial.then_some(since);
+            actor.listing.do_send(Offer { version, since, changes });
         }));
     }
 }
--- a/crates/damaskhatch/src/control/limits/mod.rs
+++ b/crates/damaskhatch/src/control/limits/mod.rs
@@ -210,14 +210,11 @@
     /// Decides on an ask as the holder of its upstream.
     fn decide(&mut self, id: Id, ask: &Ask, now: Instant) -> Verdict {
         let asked = ask.statement;
-        let is_cold = asked.serial == COLD_SERIAL;
-        if !is_cold {
-            self.merge(&[asked]);
-        }
+        self.merge(&[asked]);
         let upstream = asked.upstream;
         // The list of upstreams may reach the host that asks before it reaches this one.
         let known = self.table.effective(upstream, asked.started_ms, now);
-        let told = known.into_iter().chain(is_cold.then_some(asked));
+        let told = known.into_iter().chain((asked.serial == COLD_SERIAL).then_some(asked));
         let rate = |statement: &Statement| statement.per_s.unwrap_or(f64::INFINITY);
         let Some(statement) = told.min_by(|one, other| rate(one).total_cmp(&rate(other))) else {
             return Verdict::Granted;
--- a/crates/damaskhatch/src/control/limits/statements.rs
+++ b/crates/damaskhatch/src/control/limits/statements.rs
@@ -40,7 +40,8 @@
     pub(super) fn merge(&mut self, statements: &[Statement]) {
         let now = Instant::now();
         let mut has_changed = false;
-        // A holder of an earlier version tells an ask for a cold upstream on as if it were a named limit.
+        // No upstream has named the limit of a cold one, which asks contain and hosts of earlier versions
+        // tell on.
         for statement in statements.iter().filter(|statement| statement.serial != COLD_SERIAL) {
             if self.table.merge(statement, now) {
                 has_changed = true;
--- a/crates/damaskhatch/src/control/scheduling.rs
+++ b/crates/damaskhatch/src/control/scheduling.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 
 use damaskhatch_exchange::Head;
-use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::membership::{Headroom, View};
 use damaskhatch_policy::rendezvous;
@@ -271,8 +270,7 @@
                 actor.leaving.insert(tag, load.leaving);
                 let (domain, now) = (actor.shared.domain, Instant::now());
                 let standing = actor.shared.availability.lock().standing_in(domain, tag, 0, now);
-                load.leaving |= is_announced_leaving
-                    || matches!(standing, Standing::Leaving | Standing::Evacuated);
+                load.leaving |= is_announced_leaving || standing.is_closed();
                 for scheduler in actor.schedulers.values_mut() {
                     scheduler.update_load(tag, &load);
                 }
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -6,7 +6,6 @@
 //! requires neither a lease nor a clock shared between hosts. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#stages).
 
-use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::freshness::BootTime;
 use damaskhatch_policy::position::Position;
 use damaskhatch_policy::registry::Entry;
@@ -90,9 +89,7 @@
         let models = snapshot.services.iter().filter(|(_, service)| service.engines.is_some());
         for (_, service) in models {
             let availability = &self.shared.availability;
-            let stays = |engine: &&Entry| {
-                !matches!(availability.standing_of(engine), Standing::Leaving | Standing::Evacuated)
-            };
+            let stays = |engine: &&Entry| !availability.standing_of(engine).is_closed();
             let pools = stages::pools(registry.usable(service.tag).filter(stays));
             self.debounces.retain(|(tag, version), _| {
                 *tag != service.tag || pools.is_empty() || pools.contains_key(version)
--- a/crates/damaskhatch/src/entry/unread.rs
+++ b/crates/damaskhatch/src/entry/unread.rs
@@ -1,8 +1,8 @@
-//! Leaves a request unserved while its caller leaves earlier responses unread, and ends connections whose
-//! last request was answered before its body was read.
+//! Bytes that a caller or a host has not read yet when the next request or the end of a connection comes.
 //!
 //! The HTTP server serves the requests of a connection one after the other, and keeps the responses that the
-//! kernel does not take yet, without a limit on those without a body.
+//! kernel does not take yet, without a limit on those without a body. So a request waits while its
+//! caller leaves earlier responses unread.
 //!
 //! The HTTP server reads the rest of a chunked body that nobody holds any more, however long that takes.
 //! While a body is held, it closes the connection after the response instead.
@@ -42,6 +42,21 @@
     }
 }
 
+/// Leaves a request unserved while its caller leaves earlier responses unread.
+///
+/// # Errors
+///
+/// Fails as the handler does.
+pub async fn wait_for_caller<B: MessageBody + 'static>(
+    request: ServiceRequest,
+    next: Next<B>,
+) -> Result<ServiceResponse<B>, Error> {
+    if let Some(connection) = Connection::of(request.request()) {
+        connection.wait_writable().await;
+    }
+    next.call(request).await
+}
+
 /// Has the server close the connection after a response to a chunked request whose body was not read.
 ///
 /// # Errors
@@ -51,9 +66,6 @@
     mut request: ServiceRequest,
     next: Next<impl MessageBody + 'static>,
 ) -> Result<ServiceResponse<BoxBody>, Error> {
-    if let Some(connection) = Connection::of(request.request()) {
-        connection.wait_writable().await;
-    }
     if !request.chunked().unwrap_or(false) {
         return Ok(next.call(request).await?.map_into_boxed_body());
     }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -185,6 +185,7 @@
         App::new()
             .app_data(state.clone())
             .wrap(from_fn(unread::close_after_response))
+            .wrap(from_fn(unread::wait_for_caller))
             .configure(configure)
     })
     .on_connect(move |connection, data| {
--- a/crates/damaskhatch/src/relay/reserve.rs
+++ b/crates/damaskhatch/src/relay/reserve.rs
@@ -4,7 +4,6 @@
 //! rounds, in the order of [`super::turns`].
 
 use damaskhatch_policy::admission::{self, Need};
-use damaskhatch_policy::availability::Standing;
 use damaskhatch_policy::placement::{self, Load, Loads};
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry;
@@ -144,9 +143,7 @@
     let service = entry.shared.snapshot().services[routed.service].tag;
     let registry = entry.shared.upstreams();
     let availability = &entry.shared.availability;
-    let stays = |engine: &&registry::Entry| {
-        !matches!(availability.standing_of(engine), Standing::Leaving | Standing::Evacuated)
-    };
+    let stays = |engine: &&registry::Entry| !availability.standing_of(engine).is_closed();
     let mut staying = registry.usable(service).filter(stays);
     version.is_none_or(|version| staying.any(|own| own.software == version))
 }
--- a/crates/policy/src/availability.rs
+++ b/crates/policy/src/availability.rs
@@ -153,6 +153,11 @@
     pub const fn allows_requests(self) -> bool {
         matches!(self, Self::Available | Self::Discouraged)
     }
+
+    /// Whether nothing new is sent there for as long as nobody decides otherwise; a pause ends by itself.
+    pub const fn is_closed(self) -> bool {
+        matches!(self, Self::Leaving | Self::Evacuated)
+    }
 }
 
 /// What is known of one start of an upstream.
