Read callers' connections only while the server can use what it reads

Callers saw: while a crowd that sends requests ahead and reads nothing stood, the host's memory grew beyond its bound (platform's face: 73 MiB with long responses, 136 MiB with all kinds; own interface: 82 MiB; 64 allowed), and a 431 followed the last response of a connection with bytes behind its request.

Cause: the HTTP library reads on while it serves a request, up to 128 KiB a connection, and decodes all of it at once; a decoded request takes many times its bytes. Heads without an end were bounded for each connection only, and each closing connection kept a buffer of 16 KiB.

Change: a stream below the library (entry::gate) is read while none of the connection's requests is served, and while a handler waits for its body, 4 KiB at a time. Heads beyond 8 KiB use the budget for requests. A closing connection has a buffer only while it reads. The crowd and the bounds of the tests are unchanged; the tests of a file now run one at a time, as each measures a process beside its own crowd.

--- a/crates/damaskhatch/src/entry/closed.rs
+++ b/crates/damaskhatch/src/entry/closed.rs
@@ -5,7 +5,6 @@
 //! ready as soon as the caller closes or resets the connection. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#closed-callers).
 
-use std::any::Any;
 use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -49,14 +48,11 @@
 /// The kernel resets the connection once the caller has taken none of the bytes sent to it for
 /// `unread_limit`; a connection with nothing to send is not affected.
 pub fn on_connect(
-    connection: &dyn Any,
+    stream: &TcpStream,
     data: &mut Extensions,
     closing: &Closing,
     unread_limit: Duration,
 ) {
-    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
-        return;
-    };
     if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(unread_limit)) {
         log::warn!("event=unread_limit_not_set error={error}");
     }
--- a/crates/damaskhatch/src/entry/closing.rs
+++ b/crates/damaskhatch/src/entry/closing.rs
@@ -6,13 +6,14 @@
 //! a limited time and amount. See
 //! [docs/DESIGN.md](../../../../docs/DESIGN.md#closed-connections).
 
+use std::io;
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use damaskhatch_policy::prelude::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -25,6 +26,8 @@
 const MAX_BYTES: usize = 64 << 20;
 /// The most connections that wait for their callers to close them.
 const MAX_CONNECTIONS: usize = 512;
+/// The most bytes that are discarded at a time.
+const BUFFER_BYTES: usize = 16 << 10;
 /// The pause between two looks at the connections that are left.
 const FINISH_PAUSE: Duration = Duration::from_millis(20);
 
@@ -98,11 +101,22 @@
     if stream.shutdown().await.is_err() {
         return;
     }
-    let (mut buffer, mut total) = (vec![0; 16 << 10], 0);
+    let mut total = 0;
     while total < MAX_BYTES {
-        match timeout(MAX_PAUSE, stream.read(&mut buffer)).await {
-            Ok(Ok(read)) if read > 0 => total += read,
-            _ => return,
+        if !matches!(timeout(MAX_PAUSE, stream.readable()).await, Ok(Ok(()))) {
+            return;
+        }
+        match discard_some(&stream) {
+            Ok(0) => return,
+            Ok(read) => total += read,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_broken) => return,
         }
     }
 }
+
+/// Reads what is there; the buffer lives no longer, so that waiting connections have none.
+fn discard_some(stream: &tokio::net::TcpStream) -> io::Result<usize> {
+    let mut buffer = [0; BUFFER_BYTES];
+    stream.try_read(&mut buffer)
+}
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod closed;
 pub mod closing;
 pub mod completion;
+pub mod gate;
 pub mod generate;
 pub mod hold;
 pub mod idempotency;
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -1,6 +1,7 @@
 //! Starts the servers and control actors of a host and shuts them down gracefully.
 
 use std::convert::Infallible;
+use std::future::ready;
 use std::io;
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
@@ -8,8 +9,12 @@
 use std::time::Duration;
 
 use actix::Arbiter;
-use actix_web::dev::ServerHandle;
+use actix_http::HttpService;
+use actix_server::Server;
+use actix_service::{ServiceFactoryExt as _, fn_service, map_config};
+use actix_web::dev::{AppConfig, Extensions, ServerHandle};
 use actix_web::middleware::from_fn;
+use actix_web::rt::net::TcpStream;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
@@ -29,6 +34,7 @@
 use crate::decision::Journal;
 use crate::deployment::Deployment;
 use crate::entry::closing::Closing;
+use crate::entry::gate::{self, Gated};
 use crate::entry::refuser::Refuser;
 use crate::entry::{self, Entry, closed, unread};
 use crate::listeners::{Listeners, bind_operator};
@@ -58,6 +64,8 @@
 const HOLDER_GRACE: Duration = Duration::from_secs(4);
 /// How long an idle connection from a caller is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// How long the HTTP server waits for the end of a connection that it closes.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a caller may take to send a request head.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -181,23 +189,42 @@
     let closing = shared.closing.clone();
     let unread_limit = Duration::from_millis(settings.limits.unread_ms);
     let configure = if is_routed { relay::configure } else { entry::configure };
-    let server = HttpServer::new(move || {
-        App::new()
+    let builder = Server::build()
+        .workers(settings.host.workers as usize)
+        .shutdown_timeout(settings.limits.drain_s)
+        .disable_signals();
+    let stopping = builder.graceful_shutdown_signal();
+    let heads = shared.memory.requests.clone();
+    let refused = shared.metrics.refused_heads.clone();
+    let factory = move || {
+        let app = App::new()
             .app_data(state.clone())
             .wrap(from_fn(unread::close_after_response))
             .wrap(from_fn(unread::wait_for_caller))
-            .configure(configure)
-    })
-    .on_connect(move |connection, data| {
-        closed::on_connect(connection, data, &closing, unread_limit);
-    })
-    .workers(settings.host.workers as usize)
-    .keep_alive(KEEP_ALIVE)
-    .client_request_timeout(REQUEST_TIMEOUT)
-    .shutdown_timeout(settings.limits.drain_s)
-    .disable_signals()
-    .listen(listener)?
-    .run();
+            .wrap(from_fn(gate::close_while_served))
+            .configure(configure);
+        let (closing, stopping) = (closing.clone(), stopping.clone());
+        let service = HttpService::build()
+            .graceful_shutdown_signal(move || {
+                let stopping = stopping.clone();
+                async move { stopping.notified().await }
+            })
+            .keep_alive(KEEP_ALIVE)
+            .client_request_timeout(REQUEST_TIMEOUT)
+            .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+            .on_connect_ext(move |connection: &Gated<TcpStream>, data: &mut Extensions| {
+                closed::on_connect(connection.stream(), data, &closing, unread_limit);
+                data.insert(connection.gate().clone());
+            })
+            .h1(map_config(app, |()| AppConfig::default()));
+        let (heads, refused) = (heads.clone(), refused.clone());
+        fn_service(move |stream: TcpStream| {
+            let address = stream.peer_addr().ok();
+            ready(Ok((Gated::new(stream, heads.share(), refused.clone()), address)))
+        })
+        .and_then(service)
+    };
+    let server = builder.listen("callers", listener, factory)?.run();
     let handle = server.handle();
     spawn_lasting("callers", &shared.stop, server);
     Ok(handle)
--- a/crates/damaskhatch/src/metrics.rs
+++ b/crates/damaskhatch/src/metrics.rs
@@ -75,6 +75,8 @@
     pub upstream_exchanges: IntCounterVec,
     /// Responses that were given up because their callers left them unread while memory was short.
     pub unread: IntCounter,
+    /// Connections that were closed because a head without an end left no memory for others.
+    pub refused_heads: IntCounter,
     /// The configuration revision in force.
     pub revision: IntGauge,
     /// Hosts considered alive, this one included.
@@ -158,6 +160,7 @@
                 &["connection"],
             ),
             unread: counter(r, "unread_responses_total", "Responses cut off unread."),
+            refused_heads: counter(r, "refused_heads_total", "Heads refused for want of memory."),
             revision: gauge(r, "revision", "Configuration revision in force."),
             hosts_alive: gauge(r, "hosts_alive", "Hosts that count as alive."),
             slots_held: gauge(r, "slots_held", "Bucket slots held."),
--- a/crates/standins/tests/sent_ahead.rs
+++ b/crates/standins/tests/sent_ahead.rs
@@ -12,6 +12,7 @@
 use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
 /// The memory that a host may use, in MiB.
@@ -61,8 +62,12 @@
     false
 }
 
+/// Held by each test while it runs, since one crowd at a time is measured.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
 /// Checks what must hold while a crowd stands and after it has left.
 async fn check(requests: impl Fn(&Fleet) -> Vec<String>) {
+    let _alone = ALONE.lock().await;
     let limits = format!("memory_mb = {MEMORY_MB}");
     let plan = Plan { limits, ..Plan::small(program()) };
     let fleet = Fleet::start(plan).await.expect("the fleet starts");
