End each read of a connection with a request, and limit the time of every head

Found by review of the gate: (1) bytes of a refused body that the server discards counted as a head, so that uploads without a key used up the budget for requests of others; (2) a request sent ahead whose body began within the same 4 KiB was partly read while the one before it was served, which the server takes for an unread rest: it announced a close and served on, or answered nothing of what followed; (3) a head behind a first request had no time limit; (4) a long head counted until the next byte came; (8) a fast sender kept the thread of closing connections.

Change: a read ends after an empty line, which ends heads and chunked bodies, or with the announced length of a body, so the server never has a part of the next request. Only heads count, until they end, for 10 s at most. The discarding of closing connections yields.

--- a/crates/damaskhatch/src/entry/closing.rs
+++ b/crates/damaskhatch/src/entry/closing.rs
@@ -15,7 +15,7 @@
 use damaskhatch_policy::prelude::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, consume_budget};
 use tokio::time::timeout;
 
 /// How long what a caller sends is discarded.
@@ -103,6 +103,8 @@
     }
     let mut total = 0;
     while total < MAX_BYTES {
+        // A caller that sends fast would otherwise keep the other tasks of the thread waiting.
+        consume_budget().await;
         if !matches!(timeout(MAX_PAUSE, stream.readable()).await, Ok(Ok(()))) {
             return;
         }
--- a/crates/damaskhatch/src/entry/gate.rs
+++ b/crates/damaskhatch/src/entry/gate.rs
@@ -5,11 +5,16 @@
 //! read, a little at a time, while none of its requests is served, and while a handler waits for the rest
 //! of its body. What a caller sends beyond that stays in the kernel, whose buffers are bounded.
 //!
+//! A read ends after an empty line, which ends every head and every chunked body, and with the length of a
+//! body where it is known. So the server has nothing of the next request while it serves one: it would take
+//! the body of the next one for an unread rest of this one, and close the connection.
+//!
 //! The server keeps a long head that has no end yet. Beyond [`FREE_BYTES`] it counts among the bodies of
 //! requests, so that many of them do not take the memory of others. See
 //! [docs/design/untrusted-callers.md](../../../../docs/design/untrusted-callers.md).
 
 use std::cell::{Cell, RefCell};
+use std::future::Future as _;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,6 +23,7 @@
 use actix_web::body::{BodySize, MessageBody};
 use actix_web::dev::{Payload, ServiceRequest, ServiceResponse};
 use actix_web::error::PayloadError;
+use actix_web::http::header::CONTENT_LENGTH;
 use actix_web::middleware::Next;
 use actix_web::web::Bytes;
 use actix_web::{Error, HttpMessage as _, HttpRequest};
@@ -25,11 +31,14 @@
 use futures_util::Stream;
 use prometheus::IntCounter;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Duration, Sleep, sleep};
 
 /// The most bytes that are read at a time, all of which may be requests of a few bytes each.
 const MAX_READ: usize = 4 << 10;
 /// The bytes of a head that do not count among the bodies of requests.
 const FREE_BYTES: usize = 8 << 10;
+/// How long a head may take that is not the connection's first.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much of a buffer the server may have for each byte in it, as it doubles buffers that are full.
 const BUFFER_FACTOR: usize = 2;
 
@@ -37,14 +46,30 @@
 #[derive(Debug, Clone, Default)]
 pub struct Gate(Rc<State>);
 
+/// A part of a request.
+#[derive(Debug, Clone, Copy, Default)]
+enum Part {
+    /// A head, or the empty lines before it.
+    #[default]
+    Head,
+    /// A body of which so many bytes are left.
+    Sized(usize),
+    /// A body that tells its end itself.
+    Chunked,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// The requests of the connection that are served; more than one only while one ends.
     served: Cell<usize>,
     /// Whether a handler waits for bytes of its request's body.
     is_awaited: Cell<bool>,
-    /// The bytes that were read since the last request began to be served.
-    unserved: Cell<usize>,
+    /// What the bytes that are read next belong to.
+    part: Cell<Part>,
+    /// The bytes of a head that has no end yet.
+    head: Cell<usize>,
+    /// Whether a request was served already; the server itself limits the time of the first head.
+    has_served: Cell<bool>,
     /// The HTTP server's task, while it waits to read.
     reader: RefCell<Option<Waker>>,
 }
@@ -56,7 +81,8 @@
     }
 
     fn is_open(&self) -> bool {
-        self.0.served.get() == 0 || self.0.is_awaited.get()
+        let has_body = !matches!(self.0.part.get(), Part::Head);
+        self.0.served.get() == 0 || (self.0.is_awaited.get() && has_body)
     }
 
     /// Lets the HTTP server read again if it waits to, and it may.
@@ -80,9 +106,12 @@
 struct Served(Gate);
 
 impl Served {
-    fn new(gate: Gate) -> Self {
+    /// Begins a request whose head has been read, and whose body, if any, is `part`.
+    fn new(gate: Gate, part: Part) -> Self {
         gate.0.served.set(gate.0.served.get() + 1);
-        gate.0.unserved.set(0);
+        gate.0.head.set(0);
+        gate.0.has_served.set(true);
+        gate.0.part.set(part);
         Self(gate)
     }
 }
@@ -100,12 +129,18 @@
 pub struct Gated<S> {
     stream: S,
     gate: Gate,
+    /// What was read behind the end of the last read's part.
+    ahead: Bytes,
+    /// Whether the bytes given last end with a line end, and perhaps a carriage return.
+    is_at_line_start: bool,
+    /// Whether the HTTP server has been given bytes that it has not decoded yet.
+    has_given: bool,
     /// The memory of a long head.
     share: Share,
+    /// The end of the time for a head that has begun.
+    head_end: Option<Pin<Box<Sleep>>>,
     /// Counts heads that were refused for want of memory.
     refused: IntCounter,
-    /// Whether the HTTP server has been given bytes that it has not decoded yet.
-    has_given: bool,
 }
 
 impl<S> Gated<S> {
@@ -113,7 +148,16 @@
     ///
     /// Long heads use `share`, and `refused` counts those for which it has no room.
     pub fn new(stream: S, share: Share, refused: IntCounter) -> Self {
-        Self { stream, gate: Gate::default(), share, refused, has_given: false }
+        Self {
+            stream,
+            gate: Gate::default(),
+            ahead: Bytes::new(),
+            is_at_line_start: false,
+            has_given: false,
+            share,
+            head_end: None,
+            refused,
+        }
     }
 
     /// The connection behind the gate.
@@ -126,11 +170,41 @@
         &self.gate
     }
 
-    /// Makes room for further bytes of a head that has no end yet.
-    fn reserve(&mut self, more: usize) -> io::Result<()> {
-        let State { served, unserved, .. } = &*self.gate.0;
-        let bytes = if served.get() == 0 { unserved.get() + more } else { 0 };
-        unserved.set(bytes);
+    /// The length of what is given at once of `bytes`: to an empty line, or to the end of a body.
+    fn length_to_end(&mut self, bytes: &[u8]) -> usize {
+        if let Part::Sized(left) = self.gate.0.part.get() {
+            let length = bytes.len().min(left);
+            self.gate.0.part.set(if length < left {
+                Part::Sized(left - length)
+            } else {
+                Part::Head
+            });
+            self.is_at_line_start = false;
+            return length;
+        }
+        for (at, byte) in bytes.iter().enumerate() {
+            match byte {
+                b'\n' if self.is_at_line_start => {
+                    self.is_at_line_start = false;
+                    return at + 1;
+                }
+                b'\n' => self.is_at_line_start = true,
+                b'\r' => {}
+                _ => self.is_at_line_start = false,
+            }
+        }
+        bytes.len()
+    }
+
+    /// Counts the bytes of a head that has no end yet, `more` of them new.
+    fn count_head(&mut self, more: usize) -> io::Result<()> {
+        let State { served, part, head, .. } = &*self.gate.0;
+        let is_head = served.get() == 0 && matches!(part.get(), Part::Head);
+        let bytes = if is_head { head.get() + more } else { 0 };
+        head.set(bytes);
+        if bytes == 0 {
+            self.head_end = None;
+        }
         let counted = BUFFER_FACTOR * bytes.saturating_sub(FREE_BYTES);
         self.share.resize(counted).map_err(|error| {
             log::warn!("event=head_refused bytes={bytes} error={error}");
@@ -138,6 +212,17 @@
             io::Error::other(error)
         })
     }
+
+    /// Fails once the time for a head that has begun is over.
+    fn poll_head_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let State { served, has_served, head, .. } = &*self.gate.0;
+        if served.get() == 0 && has_served.get() && head.get() > 0 {
+            let end = self.head_end.get_or_insert_with(|| Box::pin(sleep(HEAD_TIMEOUT)));
+            std::task::ready!(end.as_mut().poll(cx));
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        Poll::Pending
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Gated<S> {
@@ -151,17 +236,29 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        // A head that has been decoded since is kept no longer.
+        self.count_head(0)?;
         if !self.gate.is_open() {
             self.gate.0.reader.replace(Some(cx.waker().clone()));
             return Poll::Pending;
         }
-        let length = buffer.remaining().min(MAX_READ);
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
-        let read = part.filled().len();
-        buffer.advance(read);
-        self.has_given = read > 0;
-        Poll::Ready(self.reserve(read))
+        if self.ahead.is_empty() {
+            let mut bytes = [0; MAX_READ];
+            let mut read = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut read) {
+                Poll::Pending => return self.poll_head_end(cx),
+                Poll::Ready(result) => result?,
+            }
+            self.ahead = Bytes::copy_from_slice(read.filled());
+            if self.ahead.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let bytes = self.ahead.slice(..self.ahead.len().min(buffer.remaining()));
+        let length = self.length_to_end(&bytes);
+        buffer.put_slice(&self.ahead.split_to(length));
+        self.has_given = true;
+        Poll::Ready(self.count_head(length))
     }
 }
 
@@ -194,6 +291,9 @@
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let polled = Pin::new(&mut self.body).poll_next(cx);
+        if matches!(polled, Poll::Ready(None)) {
+            self.gate.0.part.set(Part::Head);
+        }
         self.gate.set_awaited(polled.is_pending());
         polled
     }
@@ -226,6 +326,16 @@
     }
 }
 
+/// The body of a request, as its head announces it.
+fn body_of(request: &HttpRequest) -> Part {
+    if request.chunked().unwrap_or(false) {
+        return Part::Chunked;
+    }
+    let length = request.headers().get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.trim().parse().ok());
+    length.filter(|length| *length > 0).map_or(Part::Head, Part::Sized)
+}
+
 /// Closes the gate of a request's connection while the request is served.
 ///
 /// # Errors
@@ -240,7 +350,8 @@
         let body = Awaited { body: request.take_payload(), gate };
         request.set_payload(Payload::Stream { payload: Box::pin(body) });
     }
-    let served = gate.map(Served::new);
+    let part = body_of(request.request());
+    let served = gate.map(|gate| Served::new(gate, part));
     let response = next.call(request).await?.map_into_boxed_body();
     Ok(response.map_body(|_head, body| Held { body, _served: served }))
 }
