Bound the time that a request's body may take

policy::pace decides how long a body may take: a grace time, body_grace_ms, 25 s by default, and the time of the bytes that have come at 1 kB/s. The one reader of bodies, which both faces use, then refuses the request with 408, not run, and the server closes the connection. What is discarded on a closing connection has the same minimum rate after its 5 s, since a drip held it for 20 s more. The new kind of refusal is the last of its list, because hosts send kinds to each other by number.

--- a/crates/damaskhatch/src/entry/closing.rs
+++ b/crates/damaskhatch/src/entry/closing.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use damaskhatch_policy::pace;
 use damaskhatch_policy::prelude::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -19,7 +20,7 @@
 
 /// How long what a caller sends is discarded.
 const MAX_TIME: Duration = Duration::from_secs(20);
-/// How long a caller may send nothing meanwhile.
+/// How long a caller may send nothing meanwhile, or next to nothing; see [`pace`].
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 /// The most bytes of one caller that are discarded.
 const MAX_BYTES: usize = 64 << 20;
@@ -99,7 +100,8 @@
         return;
     }
     let (mut buffer, mut total) = (vec![0; 16 << 10], 0);
-    while total < MAX_BYTES {
+    let started_at = Instant::now();
+    while total < MAX_BYTES && started_at.elapsed() < pace::time_for(total, MAX_PAUSE) {
         match timeout(MAX_PAUSE, stream.read(&mut buffer)).await {
             Ok(Ok(read)) if read > 0 => total += read,
             _ => return,
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -32,12 +32,14 @@
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::length::Forecast;
 use damaskhatch_policy::outlier::Outliers;
+use damaskhatch_policy::pace;
 use damaskhatch_policy::placement::Loads;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, Budget};
 use damaskhatch_policy::strike::{Fingerprints, Quarantine, Strike};
 use futures_util::StreamExt as _;
 use serde_json::json;
+use tokio::time::timeout_at;
 
 use crate::control::Control;
 use crate::control::strikes::{Record, Served};
@@ -359,17 +361,24 @@
 }
 
 /// Reads a request body of at most `max_body_bytes`, as far as the host's memory allows.
+///
+/// A body that comes too slowly is refused; see [`pace`].
 pub async fn read_body(entry: &Entry, mut body: web::Payload) -> Result<web::Bytes, Refusal> {
     let limit = entry.shared.settings.limits.max_body_bytes as usize;
     let mut buffer = Buffer::new(&entry.shared.memory.requests, limit);
-    while let Some(chunk) = body.next().await {
+    let grace = Duration::from_millis(entry.shared.settings.limits.body_grace_ms);
+    let (started_at, mut received) = (Instant::now(), 0);
+    loop {
+        let end = started_at + pace::time_for(received, grace);
+        let next = timeout_at(end, body.next()).await.map_err(|_elapsed| Kind::TooSlow)?;
+        let Some(chunk) = next else { return Ok(buffer.freeze()) };
         let chunk = chunk.map_err(|_payload_error| Refusal::from(Kind::Malformed))?;
+        received += chunk.len();
         buffer.push(&chunk).map_err(|error| match error {
             exchange::Error::TooLong(_) => Refusal::from(Kind::TooLarge),
             _ => Refusal::after(Kind::Overloaded, MEMORY_RETRY_AFTER),
         })?;
     }
-    Ok(buffer.freeze())
 }
 
 /// Retry delay for a caller whose body does not fit beside those of others.
--- a/crates/damaskhatch/src/settings.rs
+++ b/crates/damaskhatch/src/settings.rs
@@ -282,6 +282,8 @@
             "the memory that the process may use, in MiB, at most the machine's; three fifths are for bodies";
         unread_ms: u64, Some("20000"), within(1_000..=3_600_000),
             "how long a caller may take nothing of what is sent to it, in milliseconds; then it is cut off";
+        body_grace_ms: u64, Some("25000"), within(1_000..=3_600_000),
+            "how long a request body may take beyond its bytes at 1 kB/s, in milliseconds; then it is refused";
         drain_s: u64, Some("300"), within(1..=86_400),
             "the time for a graceful stop, in seconds, after which requests are ended";
     }
--- a/crates/policy/src/error.rs
+++ b/crates/policy/src/error.rs
@@ -43,6 +43,8 @@
     UpstreamFailed,
     /// the upstream did not answer in time
     UpstreamTimeout,
+    /// the request body did not arrive in time
+    TooSlow,
 }
 
 /// Whether the request may have run on an upstream.
@@ -80,7 +82,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table in the operators' documentation.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Malformed,
         Self::TooLarge,
         Self::Unauthenticated,
@@ -97,6 +99,7 @@
         Self::UpstreamRefused,
         Self::UpstreamFailed,
         Self::UpstreamTimeout,
+        Self::TooSlow,
     ];
 
     /// Whether a newer configuration may allow what a host refuses for this reason.
@@ -116,6 +119,7 @@
             Self::Unauthenticated | Self::KeyWithdrawn => (401, DoNotRetry, NotRun),
             Self::Forbidden => (403, DoNotRetry, NotRun),
             Self::UnknownService => (404, DoNotRetry, NotRun),
+            Self::TooSlow => (408, RetryAfter, NotRun),
             Self::OverRate | Self::Quarantined => (429, RetryAfter, NotRun),
             Self::Overloaded | Self::NoUpstream | Self::Unavailable => (503, RetryAfter, NotRun),
             Self::KeyReused => (422, DoNotRetry, Unknown),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod macros;
 pub mod membership;
 pub mod outlier;
+pub mod pace;
 pub mod placement;
 pub mod position;
 pub mod quota;
