Tell hosts of all strikes of a fingerprint in one message

A host's report of a crash leaves out its time on the network, so a host that heard of the first crash 6 ms late and of the second 2 ms late took the second attempt, which had run for 36 ms, for one that had begun before the first crash (a tolerance of 2 ms), counted one event in place of two, and ran the prompt again.

Change: a new strike goes out with the earlier ones of its fingerprint. Their delay is the same, and the earlier time of a crash replaces a later one, so the order is that of the host that observed it. No change of the format; what to send is decided in policy (Ledger::messages).

--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -26,8 +26,6 @@
 ///
 /// A started host must know all strikes well within 3 s, and a comparison takes 54 bytes.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
-/// The maximum number of strikes in a datagram, for names of upstreams of up to a hundred bytes.
-const REPORTS_PER_DATAGRAM: usize = 8;
 /// The time between two checks of the suspects against the registry.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long an upstream must outlive a response for it to clear the request of its strikes.
@@ -149,11 +147,14 @@
         );
     }
 
-    fn broadcast(&self, reports: &[Report]) {
+    /// Tells all live hosts of changed strikes.
+    fn broadcast(&self, changed: &[Report]) {
         let (hosts, now) = (self.shared.hosts(), Instant::now());
+        // A message fits a datagram if the names of upstreams have up to a hundred bytes.
+        let messages = self.ledger.messages(changed, now);
         for member in hosts.members().filter(|member| member.is_alive(now)) {
-            for reports in reports.chunks(REPORTS_PER_DATAGRAM) {
-                self.shared.outbox.send(member.record.address, Body::Strikes(reports.to_vec()));
+            for reports in &messages {
+                self.shared.outbox.send(member.record.address, Body::Strikes(reports.clone()));
             }
         }
     }
--- a/crates/policy/src/strike/mod.rs
+++ b/crates/policy/src/strike/mod.rs
@@ -8,7 +8,7 @@
 //! crash; a complete response to it clears it. See
 //! [docs/DESIGN.md](../../../docs/DESIGN.md#quarantine).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::prelude::*;
 
@@ -46,12 +46,14 @@
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(5);
 /// How much the order of events observed by different hosts may be off.
 ///
-/// A report's age leaves out its time on the network.
+/// A report's age leaves out its time on the network, which is the same for all reports of a message
+/// only; see [`Ledger::messages`].
 const ORDER_TOLERANCE: Duration = Duration::from_millis(2);
 /// The maximum number of fingerprints kept; those with the fewest and oldest strikes are dropped.
 pub const MAX_FINGERPRINTS: usize = 4_096;
-/// The maximum number of strikes kept for a fingerprint; the oldest are dropped.
-const MAX_STRIKES: usize = 8;
+/// The maximum number of strikes kept for a fingerprint, the oldest being dropped, and of reports in a
+/// message.
+pub const MAX_STRIKES: usize = 8;
 
 plain! { state
     /// Why and for how long a request is refused.
@@ -256,6 +258,26 @@
         known.map(|entry| report(entry, now)).collect()
     }
 
+    /// What other hosts are told of changed strikes, in messages of up to [`MAX_STRIKES`] reports.
+    ///
+    /// All strikes of a fingerprint go in one message: hosts hear of crashes with different delays, and
+    /// could not tell from their own clocks whether an attempt began after an earlier crash.
+    pub fn messages(&self, changed: &[Report], now: Instant) -> Vec<Vec<Report>> {
+        let mut messages: Vec<Vec<Report>> = Vec::new();
+        let mut told = HashSet::new();
+        for Report { strike, .. } in changed {
+            if !told.insert(strike.fingerprint) {
+                continue;
+            }
+            let reports = self.reports_of(strike.fingerprint, now);
+            match messages.last_mut() {
+                Some(last) if last.len() + reports.len() <= MAX_STRIKES => last.extend(reports),
+                _ => messages.push(reports),
+            }
+        }
+        messages
+    }
+
     /// A digest of all strikes, the same on hosts that know the same ones.
     pub fn digest(&self) -> u64 {
         self.strikes.values().flatten().fold(0, |sum, entry| sum.wrapping_add(entry.digest()))
--- a/crates/policy/tests/strikes.rs
+++ b/crates/policy/tests/strikes.rs
@@ -6,8 +6,8 @@
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry::{Entry, NO_VERSION, Registry};
 use damaskhatch_policy::strike::{
-    BASE_QUARANTINE, Crash, LIMIT, Ledger, MAX_FINGERPRINTS, MAX_QUARANTINE, RETENTION, Report,
-    Strike, fingerprint,
+    BASE_QUARANTINE, Crash, LIMIT, Ledger, MAX_FINGERPRINTS, MAX_QUARANTINE, MAX_STRIKES,
+    RETENTION, Report, Strike, fingerprint,
 };
 use damaskhatch_policy::suspect::{Suspect, Suspects};
 use proptest::prelude::*;
@@ -182,6 +182,53 @@
     assert_eq!(one.reports(now), other.reports(now));
 }
 
+/// Guards against hosts that take two crashes for one because they heard of the first one late: an
+/// attempt that began after a crash then seems to have begun before it, and crashes one upstream more.
+#[test]
+fn a_host_that_heard_late_of_a_crash_knows_that_the_next_attempt_began_after_it() {
+    let start = Instant::now();
+    for (first_ms, second_ms) in [(0, 0), (6, 2), (6, 0), (400, 1), (1, 400)] {
+        let delays = [first_ms, second_ms].map(Duration::from_millis);
+        let (mut own, mut other) = (Ledger::default(), Ledger::default());
+        for (upstream, delay) in delays.into_iter().enumerate() {
+            // The request is sent again as soon as the crash is known.
+            let now = start + RAN_FOR * upstream as u32;
+            let new = vec![report(strike(CULPRIT, upstream as u64))];
+            assert!(own.record(&new[0], now));
+            for message in own.messages(&new, now) {
+                for report in &message {
+                    other.record(report, now + delay);
+                }
+            }
+        }
+        let now = start + Duration::from_secs(1);
+        for ledger in [&own, &other] {
+            assert!(ledger.refused_for(CULPRIT, now).is_some(), "{first_ms} ms, {second_ms} ms");
+        }
+    }
+}
+
+/// Guards against messages that do not fit a datagram, or that lack a strike.
+#[test]
+fn messages_to_other_hosts_are_bounded_and_complete() {
+    let (mut ledger, mut new) = (Ledger::default(), Vec::new());
+    let mut now = Instant::now();
+    for upstream in 0..5 {
+        now += PAUSE;
+        new = (0..17).map(|part| report(strike(Tag(part), upstream))).collect();
+        new.iter().for_each(|report| assert!(ledger.record(report, now)));
+    }
+    let messages = ledger.messages(&new, now);
+    assert!(messages.iter().all(|message| (1..=MAX_STRIKES).contains(&message.len())));
+    let mut other = Ledger::default();
+    messages.iter().flatten().for_each(|report| assert!(other.record(report, now)));
+    assert_eq!(other.digest(), ledger.digest());
+    // Only what has changed is told.
+    let told = ledger.messages(&new[..1], now);
+    assert!(told.iter().flatten().all(|report| report.strike.fingerprint == Tag(0)));
+    assert_eq!(ledger.messages(&[], now), Vec::<Vec<Report>>::new());
+}
+
 #[test]
 fn the_parts_of_a_fingerprint_do_not_run_into_each_other() {
     let one = fingerprint(Tag(7), &[b"/a", b"bc"]);
