Take no 2xx without a length for complete while its request is unread

Cause: a body without a length or chunks ends with its connection. An upstream that answers a long upload at once, closes its side in order and resets the connection later gave such an end after a part, and as it still accepts connections the part counted as complete.

Change: where a body of a 2xx ends with its connection while bytes of the request could not be written, it has broken off. Refusals need not read the request and are passed on as before. In exchange, for both faces.

An upload that fits the connection's buffers does not show it.

--- a/crates/exchange/src/guarded.rs
+++ b/crates/exchange/src/guarded.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -18,14 +18,37 @@
 /// The longest head, and as much of a body as is read ahead with it.
 pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 128 << 10;
 
-/// The bytes read since the reader last got any part of a response; clones share it.
-#[derive(Debug, Clone)]
-pub struct Guard(Arc<AtomicUsize>);
+/// What is known of the bytes on a connection; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Guard(Arc<Counts>);
+
+#[derive(Debug, Default)]
+struct Counts {
+    /// The bytes read since the reader last got any part of a response.
+    unused: AtomicUsize,
+    /// Whether bytes wait until the other end has read earlier ones.
+    is_blocked: AtomicBool,
+}
 
 impl Guard {
     /// Begins to count anew: a request is sent, or a part of its response has been received.
     pub fn record_progress(&self) {
-        self.0.store(0, Ordering::Relaxed);
+        self.0.unused.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether a part of the request has not been sent, because the other end does not read it.
+    pub fn is_blocked(&self) -> bool {
+        self.0.is_blocked.load(Ordering::Relaxed)
+    }
+
+    /// Takes into account the result of a write, which is passed on.
+    fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &written {
+            Poll::Pending => self.0.is_blocked.store(true, Ordering::Relaxed),
+            Poll::Ready(Ok(_)) => self.0.is_blocked.store(false, Ordering::Relaxed),
+            Poll::Ready(Err(_)) => {}
+        }
+        written
     }
 }
 
@@ -39,7 +62,7 @@
 impl Stream {
     /// Guards a connection on which nothing has been read.
     pub fn new(inner: TcpStream) -> (Self, Guard) {
-        let guard = Guard(Arc::new(AtomicUsize::new(0)));
+        let guard = Guard::default();
         (Self { inner, guard: guard.clone() }, guard)
     }
 }
@@ -52,7 +75,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.inner).poll_read(context, buffer);
-        let count = &self.guard.0;
+        let count = &self.guard.0.unused;
         let counted = count.load(Ordering::Relaxed) + buffer.filled().len() - before;
         count.store(counted, Ordering::Relaxed);
         if counted > MAX_BYTES_WITHOUT_PROGRESS {
@@ -69,7 +92,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.guard.record_write(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -89,6 +113,7 @@
         context: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, pieces)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, pieces);
+        self.guard.record_write(written)
     }
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -170,6 +170,14 @@
         }
     }
 
+    /// Whether the connection ended while the other end had not read the request, with a body whose end
+    /// nothing else marks.
+    ///
+    /// A failure need not read the request. Anything else cannot be known to be complete.
+    fn is_cut_short(&self) -> bool {
+        self.framing == Framing::Close && self.head.status.is_success() && self.guard.is_blocked()
+    }
+
     /// Closes the connection, on which the rest of the body may still be arriving.
     pub fn close(&mut self) {
         self.driver = None;
@@ -180,6 +188,10 @@
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes>> {
         loop {
             let Some(frame) = self.body.frame().await else {
+                if self.is_cut_short() {
+                    let reason = "the response ended before its request was read";
+                    return Some(Err(Error::Broken(reason.to_owned())));
+                }
                 self.end();
                 return None;
             };
--- a/crates/exchange/tests/early_responses.rs
+++ b/crates/exchange/tests/early_responses.rs
@@ -29,6 +29,8 @@
     ReadAndReset,
     /// Closes the connection while bytes of the request are unread.
     Close,
+    /// Sends nothing more after the response, and resets the connection later.
+    CloseOneSide,
 }
 
 /// The connection that a client uses.
@@ -64,6 +66,10 @@
             let _read = stream.read_exact(&mut some).await;
         }
         sleep(pause).await;
+        if end == End::CloseOneSide {
+            stream.shutdown().await.expect("the other end is there");
+            sleep(Duration::from_millis(20)).await;
+        }
         if end != End::Close {
             let linger = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             linger.expect("the option is supported");
@@ -136,7 +142,48 @@
     assert!(found.is_empty(), "{} passed: {found:#?}", found.len());
 }
 
-/// Guards against the same with a body whose last chunk is missing.
+/// Guards against the same if the upstream closes its side in order and resets the connection later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_without_a_length_that_ends_before_its_request_was_read_is_broken() {
+    let upload = Bytes::from(vec![b'u'; UPLOADS[2]]);
+    for (status, is_broken) in [(200, true), (201, true), (413, false), (503, false)] {
+        for client in [Client::New, Client::PoolNew, Client::PoolKept] {
+            for pause in PAUSES_US {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+                let address = listener.local_addr().expect("an address");
+                let early = format!("HTTP/1.1 {status} X\r\nrequest-id: own\r\n\r\na part");
+                let pause = Duration::from_micros(pause);
+                let server = tokio::spawn(serve(listener, early, End::CloseOneSide, pause));
+                let called = call(client, address, upload.clone()).await;
+                let case = format!("{status} {client:?} {pause:?}: {called:?}");
+                // What a caller may know of a refusal is its status; its text may be lost.
+                let is_right = matches!(called, Err(Error::Broken(_) | Error::Stale(_)))
+                    || (!is_broken && called == Ok(Bytes::from("a part")));
+                assert!(is_right, "{case}");
+                server.abort();
+            }
+        }
+    }
+}
+
+/// Guards against a refusal that is lost because the request was not read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_early_refusal_with_a_length_is_a_response() {
+    let upload = Bytes::from(vec![b'u'; UPLOADS[2]]);
+    for client in [Client::New, Client::PoolNew, Client::PoolKept] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let early = "HTTP/1.1 503 X\r\nrequest-id: own\r\nconnection: close\r\n\
+                     content-length: 4\r\n\r\nfull";
+        let pause = Duration::from_millis(100);
+        let server = tokio::spawn(serve(listener, early.to_owned(), End::Reset, pause));
+        let called = call(client, address, upload.clone()).await;
+        assert_eq!(called, Ok(Bytes::from("full")), "{client:?}");
+        server.abort();
+    }
+}
+
+/// Guards against a part of a body whose last chunk is missing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_early_chunked_response_that_is_reset_is_broken() {
     let head = "HTTP/1.1 200 OK\r\nrequest-id: own\r\ntransfer-encoding: chunked\r\n\r\n";
