--- a/crates/damaskhatch/src/entry/gate.rs
+++ b/crates/damaskhatch/src/entry/gate.rs
@@ -6,7 +6,7 @@
 //! of its body. What a caller sends beyond that stays in the kernel, whose buffers are bounded.
 //!
 //! A read ends after an empty line, which ends every head and every chunked body, and with the length of a
-//! body where it is known. So the server has nothing of the next request while it serves one: it would take
+//! body where it is known; line ends before a head are left out. So the server has nothing of the next request while it serves one: it would take
 //! the body of the next one for an unread rest of this one, and close the connection.
 //!
 //! The server keeps a long head that has no end yet. Beyond [`FREE_BYTES`] it counts among the bodies of
@@ -27,6 +27,7 @@
 use actix_web::middleware::Next;
 use actix_web::web::Bytes;
 use actix_web::{Error, HttpMessage as _, HttpRequest};
+use bytes::Buf as _;
 use damaskhatch_exchange::memory::Share;
 use futures_util::Stream;
 use prometheus::IntCounter;
@@ -36,7 +37,7 @@
 /// The most bytes that are read at a time, all of which may be requests of a few bytes each.
 const MAX_READ: usize = 4 << 10;
 /// The bytes of a head that do not count among the bodies of requests.
-const FREE_BYTES: usize = 8 << 10;
+const FREE_BYTES: usize = 16 << 10;
 /// How long a head may take that is not the connection's first.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much of a buffer the server may have for each byte in it, as it doubles buffers that are full.
@@ -170,6 +171,12 @@
         &self.gate
     }
 
+    /// Whether the next byte may be the first of a head.
+    fn is_before_head(&self) -> bool {
+        let State { served, part, head, .. } = &*self.gate.0;
+        served.get() == 0 && matches!(part.get(), Part::Head) && head.get() == 0
+    }
+
     /// The length of what is given at once of `bytes`: to an empty line, or to the end of a body.
     fn length_to_end(&mut self, bytes: &[u8]) -> usize {
         if let Part::Sized(left) = self.gate.0.part.get() {
@@ -254,6 +261,16 @@
                 return Poll::Ready(Ok(()));
             }
         }
+        if self.is_before_head() {
+            // Line ends before a head are part of none, and the server would look at each of them anew.
+            let first = self.ahead.iter().position(|byte| !matches!(byte, b'\r' | b'\n'));
+            let skipped = first.unwrap_or(self.ahead.len());
+            self.ahead.advance(skipped);
+            if self.ahead.is_empty() {
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+        }
         let bytes = self.ahead.slice(..self.ahead.len().min(buffer.remaining()));
         let length = self.length_to_end(&bytes);
         buffer.put_slice(&self.ahead.split_to(length));
@@ -301,6 +318,9 @@
 
 impl Drop for Awaited {
     fn drop(&mut self) {
+        // A handler that refuses a body may not have taken its end, which is there already.
+        let mut cx = Context::from_waker(Waker::noop());
+        while let Poll::Ready(Some(Ok(_rest))) = Pin::new(&mut *self).poll_next(&mut cx) {}
         self.gate.set_awaited(false);
     }
 }
--- a/crates/exchange/src/guarded.rs
+++ b/crates/exchange/src/guarded.rs
@@ -26,7 +26,7 @@
 struct Counts {
     /// The bytes read since the reader last got any part of a response.
     unused: AtomicUsize,
-    /// Whether bytes wait until the other end has read earlier ones.
+    /// Whether bytes wait until the other end has read earlier ones, or cannot be sent any more.
     is_blocked: AtomicBool,
 }
 
@@ -36,7 +36,7 @@
         self.0.unused.store(0, Ordering::Relaxed);
     }
 
-    /// Whether a part of the request has not been sent, because the other end does not read it.
+    /// Whether a part of the request has not been sent, because the other end does not take it.
     pub fn is_blocked(&self) -> bool {
         self.0.is_blocked.load(Ordering::Relaxed)
     }
@@ -44,9 +44,10 @@
     /// Takes into account the result of a write, which is passed on.
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match &written {
-            Poll::Pending => self.0.is_blocked.store(true, Ordering::Relaxed),
+            Poll::Pending | Poll::Ready(Err(_)) => {
+                self.0.is_blocked.store(true, Ordering::Relaxed);
+            }
             Poll::Ready(Ok(_)) => self.0.is_blocked.store(false, Ordering::Relaxed),
-            Poll::Ready(Err(_)) => {}
         }
         written
     }
--- a/crates/policy/src/strike/mod.rs
+++ b/crates/policy/src/strike/mod.rs
@@ -265,11 +265,16 @@
     pub fn messages(&self, changed: &[Report], now: Instant) -> Vec<Vec<Report>> {
         let mut messages: Vec<Vec<Report>> = Vec::new();
         let mut told = HashSet::new();
-        for Report { strike, .. } in changed {
-            if !told.insert(strike.fingerprint) {
+        for report in changed {
+            let fingerprint = report.strike.fingerprint;
+            if !told.insert(fingerprint) {
                 continue;
             }
-            let reports = self.reports_of(strike.fingerprint, now);
+            let mut reports = self.reports_of(fingerprint, now);
+            if reports.is_empty() {
+                // Dropped for want of room here; others may have more.
+                reports.push(report.clone());
+            }
             match messages.last_mut() {
                 Some(last) if last.len() + reports.len() <= MAX_STRIKES => last.extend(reports),
                 _ => messages.push(reports),
