--- a/crates/damaskhatch/src/entry/gate.rs
+++ b/crates/damaskhatch/src/entry/gate.rs
@@ -6,8 +6,9 @@
 //! of its body. What a caller sends beyond that stays in the kernel, whose buffers are bounded.
 //!
 //! A read ends after an empty line, which ends every head and every chunked body, and with the length of a
-//! body where it is known; line ends before a head are left out. So the server has nothing of the next request while it serves one: it would take
-//! the body of the next one for an unread rest of this one, and close the connection.
+//! body where it is known; line ends before a head are left out. So the server has nothing of the next
+//! request while it serves one: it would take the body of the next one for an unread rest of this one, and
+//! close the connection.
 //!
 //! The server keeps a long head that has no end yet. Beyond [`FREE_BYTES`] it counts among the bodies of
 //! requests, so that many of them do not take the memory of others. See
