Hold, time and recognize heads of requests in one place each

Found by a read of the whole change; behaviour is as it was. The gate repeated the time limit for heads that the server had (host::REQUEST_TIMEOUT), the response body that holds something until the server is done (unread::Holding), and the condition for a head in three places. One constant, one wrapper and one method serve all.

--- a/crates/damaskhatch/src/entry/gate.rs
+++ b/crates/damaskhatch/src/entry/gate.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-use actix_web::body::{BodySize, MessageBody};
+use actix_web::body::MessageBody;
 use actix_web::dev::{Payload, ServiceRequest, ServiceResponse};
 use actix_web::error::PayloadError;
 use actix_web::http::header::CONTENT_LENGTH;
@@ -35,12 +35,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Duration, Sleep, sleep};
 
+use super::unread::Holding;
+
 /// The most bytes that are read at a time, all of which may be requests of a few bytes each.
 const MAX_READ: usize = 4 << 10;
 /// The bytes of a head that do not count among the bodies of requests.
 const FREE_BYTES: usize = 16 << 10;
-/// How long a head may take that is not the connection's first.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a caller may take to send a head; the server limits the first of a connection itself.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much of a buffer the server may have for each byte in it, as it doubles buffers that are full.
 const BUFFER_FACTOR: usize = 2;
 
@@ -76,6 +78,13 @@
     reader: RefCell<Option<Waker>>,
 }
 
+impl State {
+    /// Whether what is read next belongs to a head, or stands before one.
+    fn is_in_head(&self) -> bool {
+        self.served.get() == 0 && matches!(self.part.get(), Part::Head)
+    }
+}
+
 impl Gate {
     /// The gate of a request's connection; `None` if the connection has none.
     fn of(request: &HttpRequest) -> Option<Self> {
@@ -174,8 +183,7 @@
 
     /// Whether the next byte may be the first of a head.
     fn is_before_head(&self) -> bool {
-        let State { served, part, head, .. } = &*self.gate.0;
-        served.get() == 0 && matches!(part.get(), Part::Head) && head.get() == 0
+        self.gate.0.is_in_head() && self.gate.0.head.get() == 0
     }
 
     /// The length of what is given at once of `bytes`: to an empty line, or to the end of a body.
@@ -206,10 +214,9 @@
 
     /// Counts the bytes of a head that has no end yet, `more` of them new.
     fn count_head(&mut self, more: usize) -> io::Result<()> {
-        let State { served, part, head, .. } = &*self.gate.0;
-        let is_head = served.get() == 0 && matches!(part.get(), Part::Head);
-        let bytes = if is_head { head.get() + more } else { 0 };
-        head.set(bytes);
+        let state = &self.gate.0;
+        let bytes = if state.is_in_head() { state.head.get() + more } else { 0 };
+        state.head.set(bytes);
         if bytes == 0 {
             self.head_end = None;
         }
@@ -326,27 +333,6 @@
     }
 }
 
-/// A response's body that keeps the gate closed until the server is done with it.
-struct Held<B> {
-    body: B,
-    _served: Option<Served>,
-}
-
-impl<B: MessageBody + Unpin> MessageBody for Held<B> {
-    type Error = B::Error;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(cx)
-    }
-}
-
 /// The body of a request, as its head announces it.
 fn body_of(request: &HttpRequest) -> Part {
     if request.chunked().unwrap_or(false) {
@@ -374,5 +360,5 @@
     let part = body_of(request.request());
     let served = gate.map(|gate| Served::new(gate, part));
     let response = next.call(request).await?.map_into_boxed_body();
-    Ok(response.map_body(|_head, body| Held { body, _served: served }))
+    Ok(response.map_body(|_head, body| Holding::new(body, served)))
 }
--- a/crates/damaskhatch/src/entry/unread.rs
+++ b/crates/damaskhatch/src/entry/unread.rs
@@ -21,13 +21,21 @@
 
 use super::closed::Connection;
 
-/// A response's body that holds the body of its request.
-struct Holding {
+/// A response's body that holds something until the server is done with it.
+#[derive(Debug)]
+pub struct Holding<T> {
     body: BoxBody,
-    _request: Rc<RefCell<Payload>>,
+    _held: T,
 }
 
-impl MessageBody for Holding {
+impl<T> Holding<T> {
+    /// Holds `held` as long as `body`.
+    pub const fn new(body: BoxBody, held: T) -> Self {
+        Self { body, _held: held }
+    }
+}
+
+impl<T: Unpin> MessageBody for Holding<T> {
     type Error = <BoxBody as MessageBody>::Error;
 
     fn size(&self) -> BodySize {
@@ -74,5 +82,5 @@
     let read = stream::poll_fn(move |cx| Pin::new(&mut *shared.borrow_mut()).poll_next(cx));
     request.set_payload(Payload::Stream { payload: Box::pin(read) });
     let response = next.call(request).await?.map_into_boxed_body();
-    Ok(response.map_body(|_head, body| BoxBody::new(Holding { body, _request: held })))
+    Ok(response.map_body(|_head, body| BoxBody::new(Holding::new(body, held))))
 }
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -66,8 +66,6 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// How long the HTTP server waits for the end of a connection that it closes.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long a caller may take to send a request head.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Runs a host until it receives a stop signal or an operator's drain, and has drained.
 pub async fn run(
@@ -210,7 +208,7 @@
                 async move { stopping.notified().await }
             })
             .keep_alive(KEEP_ALIVE)
-            .client_request_timeout(REQUEST_TIMEOUT)
+            .client_request_timeout(gate::HEAD_TIMEOUT)
             .client_disconnect_timeout(DISCONNECT_TIMEOUT)
             .on_connect_ext(move |connection: &Gated<TcpStream>, data: &mut Extensions| {
                 closed::on_connect(connection.stream(), data, &closing, unread_limit);
