Reset connections of crashed stand-ins for real in the review cases

The stand-ins of an engine that crashes and of the store in a drill closed their connections with a FIN where they should reset them.

--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -13,6 +13,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -93,6 +94,14 @@
     return plain(status, json.dumps(value).encode(), ("Content-Type: application/json", *headers))
 
 
+def reset(writer):
+    """Closes a connection with a reset."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Store:
     """The platform's store: keys, ranges, watches, transactions and leases."""
 
@@ -190,7 +199,7 @@
         """Every open connection is reset and new ones are closed."""
         self.is_down = True
         for writer in self.writers:
-            writer.transport.abort()
+            reset(writer)
         self.writers.clear()
 
     async def respond(self, request):
@@ -325,7 +334,7 @@
         self.server.close()
         for writer in list(self.writers):
             if is_reset:
-                writer.transport.abort()
+                reset(writer)
             else:
                 writer.close()
         self.writers.clear()
