Keep the evidence for requests as long as that against them

Cause: strikes are kept for two hours, on all hosts and in the store; complete responses counted for 10 s, on the host that saw them. After a lull the part with four events and many responses looked worse than the one with three events and none. And a refused fingerprint gets no response, so that nothing could clear it.

Ruled out: the attribution by number of events alone as the cause. Without a bad part nothing else explains the crashes, and the quarantine is as wrong.

Change: complete responses (strike::Proof) are kept and told as strikes are, for parts and for whole requests. A fingerprint with a proof does not explain what one without explains as well, from two events on. Quarantined all the same, it runs on trial (strike::trial): one request 2 s after the last crash, at the first host in rendezvous order, twice as many each second, with longer pauses after trials that crash an upstream. Retry-After says when. Responses settle in one queue rather than with a timer each.

Why it works: what a bad part never has, a complete response, now outlasts a lull, restarts of hosts and hosts that saw none of it; and where it says too little, a trial does.

--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -223,7 +223,7 @@
             | Body::Redirect { .. }
             | Body::UnknownRequests(_)
             | Body::Released(_) => self.claims.do_send(Incoming(arrival)),
-            Body::Strikes(_) | Body::StrikeDigest { .. } => {
+            Body::Strikes(_) | Body::StrikeDigest { .. } | Body::Proofs(_) => {
                 self.strikes.do_send(Incoming(arrival));
             }
             Body::Limits(_) | Body::GetLimits | Body::Ask { .. } | Body::Permit { .. } => {
--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -3,13 +3,15 @@
 //! A strike is sent to every live host at once. Datagrams get lost and hosts start later, so
 //! hosts also compare digests of what they know and pull what they lack. The requests to which
 //! crashes are attributed are saved in the store as well, for a fleet that restarts as a whole.
+//! Complete responses to requests with strikes go the same ways.
 
 mod saved;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use damaskhatch_policy::strike::{Fingerprints, Ledger, Proven, Report, Strike};
+use damaskhatch_policy::strike::{Fingerprints, Ledger, Proof, Proven, Report, Strike};
 use damaskhatch_policy::suspect::{Suspect, Suspects};
 use damaskhatch_wire::prelude::Body;
 use rand::seq::IteratorRandom;
@@ -26,10 +28,12 @@
 ///
 /// A started host must know all strikes well within 3 s, and a comparison takes 54 bytes.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
-/// The time between two checks of the suspects against the registry.
+/// The time between two checks of the suspects against the registry, and of responses for theirs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long an upstream must outlive a response for it to clear the request of its strikes.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
+/// The maximum number of proofs in a message, which fits a datagram.
+const MAX_PROOFS: usize = 64;
 
 /// Records the strikes of a request that this host observed; once answered, every thread knows them.
 #[derive(Debug, Message)]
@@ -46,7 +50,7 @@
 #[rtype(result = "()")]
 pub struct Watch(pub Suspect);
 
-/// Reports a complete response to a request that has strikes, or whose prompt has parts.
+/// Reports a complete response to a request.
 #[derive(Debug, Clone, Message)]
 #[rtype(result = "()")]
 pub struct Served {
@@ -79,7 +83,9 @@
     ledger: Ledger,
     /// Attempts that may have crashed their upstream.
     suspects: Suspects,
-    /// Parts of prompts under which responses were completed lately.
+    /// The complete responses whose upstreams may still turn out to have crashed, oldest first.
+    settling: VecDeque<(Instant, Served)>,
+    /// Requests and parts of prompts under which responses were completed.
     proven: Proven,
     is_pulling: bool,
     store: saved::State,
@@ -94,6 +100,7 @@
             channels,
             ledger: Ledger::default(),
             suspects: Suspects::default(),
+            settling: VecDeque::new(),
             proven: Proven::default(),
             is_pulling: false,
             store: saved::State::default(),
@@ -114,20 +121,18 @@
         self.shared.metrics.strikes.inc();
         new.iter().for_each(|report| self.log(report, "observed"));
         self.broadcast(&new);
+        self.testify(new.iter().map(|report| report.strike.fingerprint), now);
         self.publish(true, ctx);
     }
 
     /// Merges what another host or the store knows.
     fn merge(&mut self, reports: &[Report], source: &str, ctx: &mut Context<Self>) {
         let now = Instant::now();
-        let mut has_changed = false;
-        for report in reports {
-            if self.ledger.record(report, now) {
-                has_changed = true;
-                self.log(report, source);
-            }
-        }
-        if has_changed {
+        let is_new = |report: &&Report| self.ledger.record(report, now);
+        let new: Vec<Report> = reports.iter().filter(is_new).cloned().collect();
+        new.iter().for_each(|report| self.log(report, source));
+        if !new.is_empty() {
+            self.testify(new.iter().map(|report| report.strike.fingerprint), now);
             // Each domain's readers save it, in case the host that observed it has gone since.
             self.publish(self.shared.is_reader(), ctx);
         }
@@ -147,6 +152,54 @@
         );
     }
 
+    /// Records which struck fingerprints this host knows complete responses under, and tells all live
+    /// hosts; returns false if none of that is new.
+    fn testify(&mut self, struck: impl Iterator<Item = Tag>, now: Instant) -> bool {
+        let mut proofs = Vec::new();
+        for fingerprint in struck {
+            let Some(completed_at) = self.proven.latest(fingerprint, now) else { continue };
+            if self.ledger.prove(fingerprint, completed_at, now) {
+                let age = now.saturating_duration_since(completed_at);
+                proofs.push(Proof { fingerprint, age });
+            }
+        }
+        if proofs.is_empty() {
+            return false;
+        }
+        let hosts = self.shared.hosts();
+        for member in hosts.members().filter(|member| member.is_alive(now)) {
+            self.send_proofs(member.record.address, &proofs);
+        }
+        true
+    }
+
+    fn send_proofs(&self, to: SocketAddr, proofs: &[Proof]) {
+        for proofs in proofs.chunks(MAX_PROOFS) {
+            self.shared.outbox.send(to, Body::Proofs(proofs.to_vec()));
+        }
+    }
+
+    /// Records complete responses that another host or the store knows of.
+    fn accept(&mut self, proofs: &[Proof], source: &str, ctx: &mut Context<Self>) {
+        let now = Instant::now();
+        let mut has_changed = false;
+        for Proof { fingerprint, age } in proofs {
+            let Some(completed_at) = now.checked_sub(*age) else { continue };
+            // The strikes may come later than the proof.
+            self.proven.record(*fingerprint, completed_at);
+            if self.ledger.prove(*fingerprint, completed_at, now) {
+                has_changed = true;
+                log::info!(
+                    "event=proof fingerprint={fingerprint} age_ms={} source={source}",
+                    age.as_millis()
+                );
+            }
+        }
+        if has_changed {
+            self.publish(self.shared.is_reader(), ctx);
+        }
+    }
+
     /// Tells all live hosts of changed strikes.
     fn broadcast(&self, changed: &[Report]) {
         let (hosts, now) = (self.shared.hosts(), Instant::now());
@@ -170,14 +223,26 @@
         }
     }
 
+    /// Settles the responses that are old enough.
+    fn settle_due(&mut self, ctx: &mut Context<Self>) {
+        let due_before = Instant::now() - SETTLING_TIME;
+        while let Some((served_at, served)) =
+            self.settling.pop_front_if(|(at, _)| *at <= due_before)
+        {
+            self.settle(&served, served_at, ctx);
+        }
+    }
+
     /// Clears the strikes of a request that was served, if its upstream is still running.
     fn settle(&mut self, served: &Served, served_at: Instant, ctx: &mut Context<Self>) {
         let Served { fingerprints, upstream } = served;
         if self.ledger.has_crashed(*upstream, served_at) {
             return;
         }
-        for part in &fingerprints.parts {
-            self.proven.record(*part, served_at);
+        let now = Instant::now();
+        fingerprints.all().for_each(|own| self.proven.record(own, served_at));
+        if self.testify(fingerprints.all(), now) {
+            self.publish(true, ctx);
         }
         for fingerprint in fingerprints.all() {
             self.clear(fingerprint, served_at, "served", ctx);
@@ -204,7 +269,7 @@
         strikes
     }
 
-    /// Sends the digest of this host's strikes to another host, chosen at random.
+    /// Sends the digest of this host's strikes, and its proofs, to another host chosen at random.
     fn compare(&mut self) {
         let now = Instant::now();
         self.ledger.remove_expired(now);
@@ -216,6 +281,8 @@
         if let Some(member) = alive.choose(&mut rand::rng()) {
             let body = Body::StrikeDigest { digest: self.ledger.digest(), is_reply: false };
             self.shared.outbox.send(member.record.address, body);
+            let proofs = self.ledger.proofs(now).sample(&mut rand::rng(), MAX_PROOFS);
+            self.send_proofs(member.record.address, &proofs);
         }
     }
 
@@ -255,6 +322,7 @@
                     let Suspect { strike, broke_at: crashed_at, .. } = suspect;
                     actor.observe(Record { strikes: vec![strike], crashed_at }, ctx);
                 }
+                actor.settle_due(ctx);
             });
         });
     }
@@ -265,6 +333,7 @@
         // The store and the other hosts know the strikes; `started` reads them again.
         self.ledger = Ledger::default();
         self.suspects = Suspects::default();
+        self.settling = VecDeque::new();
         self.proven = Proven::default();
         self.is_pulling = false;
         self.store = saved::State::default();
@@ -278,6 +347,7 @@
         let arrival = message.0;
         guard(self, ctx, |actor, ctx| match arrival.body {
             Body::Strikes(reports) => actor.merge(&reports, "peer", ctx),
+            Body::Proofs(proofs) => actor.accept(&proofs, "peer", ctx),
             Body::StrikeDigest { digest, is_reply } if digest != actor.ledger.digest() => {
                 if !is_reply {
                     let digest = actor.ledger.digest();
@@ -315,11 +385,8 @@
 impl Handler<Served> for Strikes {
     type Result = ();
 
-    fn handle(&mut self, message: Served, ctx: &mut Context<Self>) {
-        let served_at = Instant::now();
-        ctx.run_later(SETTLING_TIME, move |actor, ctx| {
-            guard(actor, ctx, |actor, ctx| actor.settle(&message, served_at, ctx));
-        });
+    fn handle(&mut self, message: Served, _ctx: &mut Context<Self>) {
+        self.settling.push_back((Instant::now(), message));
     }
 }
 
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -37,6 +37,7 @@
 use damaskhatch_policy::placement::Loads;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::retry::{self, Budget};
+use damaskhatch_policy::strike::trial::Trials;
 use damaskhatch_policy::strike::{Fingerprints, Quarantine, Strike};
 use futures_util::StreamExt as _;
 use serde_json::json;
@@ -68,6 +69,8 @@
     pub learned: Arc<Mutex<HashMap<Service, Learned>>>,
     /// The recorded responses to requests with an idempotency key.
     pub responses: idempotency::Responses,
+    /// The quarantined requests that run on trial.
+    pub trials: Arc<Mutex<Trials>>,
 }
 
 /// A host's retry budget and statistics for a routed service, mostly from its responses.
@@ -107,6 +110,7 @@
             outliers: Arc::default(),
             learned: Arc::default(),
             responses,
+            trials: Arc::default(),
         }
     }
 
@@ -154,16 +158,24 @@
         if !fingerprints.all().any(|own| ledger.is_struck(own)) {
             return Ok(None);
         }
-        let Some(quarantine) = ledger.quarantine_of(fingerprints, Instant::now()) else {
+        let now = Instant::now();
+        let quarantines = ledger.quarantines_of(fingerprints, now);
+        let held = quarantines.into_iter().filter_map(|quarantine| {
+            let request = Tag::of(&format!("{label} {}", fingerprints.request));
+            let wait = self.try_on_trial(&label, &quarantine, request, now).err()?;
+            Some((wait, quarantine))
+        });
+        let Some((left, quarantine)) = held.max_by_key(|(wait, _)| *wait) else {
             return Ok(ledger.suspected_crash(fingerprints.request));
         };
-        let Quarantine { fingerprint, left, crashed } = quarantine;
+        let Quarantine { fingerprint, crashed, trial, .. } = quarantine;
         self.shared.journal.record(
             label,
             format_args!(
-                "event=quarantined fingerprint={fingerprint} crashed={} left_s={}",
+                "event=quarantined fingerprint={fingerprint} crashed={} left_s={} has_trial={}",
                 crashed.join(","),
-                left.as_secs()
+                left.as_secs(),
+                trial.is_some()
             ),
         );
         Err(if may_have_run {
@@ -173,6 +185,24 @@
         })
     }
 
+    /// Runs a quarantined request on trial, or returns the time for which it is refused.
+    fn try_on_trial(
+        &self,
+        label: impl std::fmt::Display,
+        quarantine: &Quarantine,
+        request: Tag,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let Quarantine { fingerprint, left, trial, .. } = quarantine;
+        let Some(trial) = trial else { return Err(*left) };
+        let rank = self.shared.rank_for(*fingerprint, now);
+        let mut trials = self.trials.lock().unwrap_or_else(PoisonError::into_inner);
+        trials.admit(*fingerprint, *trial, rank, request, now)?;
+        drop(trials);
+        self.shared.journal.record(label, format_args!("event=on_trial fingerprint={fingerprint}"));
+        Ok(())
+    }
+
     /// Reports a crash of an upstream under a request; returns once every thread knows of it.
     pub async fn report_strikes(&self, strikes: Vec<Strike>, crashed_at: Instant) {
         let fingerprint = strikes.first().map_or(Tag(0), |strike| strike.fingerprint);
@@ -182,13 +212,10 @@
     }
 
     /// Reports a complete response, which clears the request and the parts of its prompt of their
-    /// strikes if they have any.
+    /// strikes if they have any, and is evidence for them if they get some later.
     pub fn report_served(&self, fingerprints: &Fingerprints, upstream: Tag) {
-        let ledger = self.shared.strike_ledger();
-        if !fingerprints.parts.is_empty() || ledger.is_struck(fingerprints.request) {
-            let fingerprints = fingerprints.clone();
-            self.control.strikes.do_send(Served { fingerprints, upstream });
-        }
+        let fingerprints = fingerprints.clone();
+        self.control.strikes.do_send(Served { fingerprints, upstream });
     }
 
     /// Takes into account what a response says of its upstream, and returns that.
--- a/crates/damaskhatch/src/peers.rs
+++ b/crates/damaskhatch/src/peers.rs
@@ -300,7 +300,9 @@
         Body::Grant { .. } | Body::Refuse { .. } => "grant",
         Body::Renew { .. } | Body::UnknownRequests(_) => "renew",
         Body::Release { .. } | Body::Released(_) => "release",
-        Body::Strikes(_) | Body::StrikeDigest { .. } | Body::GetStrikes => "strike",
+        Body::Strikes(_) | Body::StrikeDigest { .. } | Body::GetStrikes | Body::Proofs(_) => {
+            "strike"
+        }
         Body::Withdraw(_) | Body::Withdrawn(_) => "withdraw",
         Body::GetHead
         | Body::Head { .. }
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -113,6 +113,13 @@
         Arc::clone(&self.strikes.borrow())
     }
 
+    /// The place of this host among the live hosts in the rendezvous order of a role, from 0.
+    pub fn rank_for(&self, role: Tag, now: Instant) -> usize {
+        let hosts = self.hosts();
+        let alive = hosts.members().filter(|member| member.is_alive(now));
+        rendezvous::rank(role, self.host, alive.map(|member| member.record.host))
+    }
+
     /// The limits that upstreams have named, as known now.
     pub fn known_limits(&self) -> Arc<limit::Table> {
         Arc::clone(&self.limits.borrow())
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -18,6 +18,12 @@
     hosts
 }
 
+/// The number of other hosts with higher scores for `role` than `host`.
+pub fn rank(role: Tag, host: Tag, hosts: impl IntoIterator<Item = Tag>) -> usize {
+    let own = (score(role, host), host.0);
+    hosts.into_iter().filter(|other| (score(role, *other), other.0) > own).count()
+}
+
 /// Orders owners for one of the hosts that ask them, so that about as many ask each of them first.
 pub fn order_for(mut owners: Vec<Tag>, host: Tag) -> Vec<Tag> {
     if !owners.is_empty() {
--- a/crates/policy/src/strike/mod.rs
+++ b/crates/policy/src/strike/mod.rs
@@ -8,6 +8,7 @@
 //! crash; a complete response to it clears it. See
 //! [docs/DESIGN.md](../../../docs/DESIGN.md#quarantine).
 
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 
 use crate::prelude::*;
@@ -15,11 +16,13 @@
 mod fingerprint;
 mod proven;
 mod report;
+pub mod trial;
 
 pub use fingerprint::{Fingerprints, MAX_PARTS, fingerprint, part};
 use fingerprint::{first_bytes, is_part};
-pub use proven::Proven;
+pub use proven::{Proof, Proven};
 pub use report::{Crash, Report, Strike};
+use trial::Trial;
 
 /// The number of events from which a fingerprint is refused, unless another one explains them
 /// just as well; then one more is needed.
@@ -49,6 +52,8 @@
 /// A report's age leaves out its time on the network, which is the same for all reports of a message
 /// only; see [`Ledger::messages`].
 const ORDER_TOLERANCE: Duration = Duration::from_millis(2);
+/// A complete response changes what is known if it is this much later than the latest known one.
+const PROOF_GAP: Duration = Duration::from_mins(10);
 /// The maximum number of fingerprints kept; those with the fewest and oldest strikes are dropped.
 pub const MAX_FINGERPRINTS: usize = 4_096;
 /// The maximum number of strikes kept for a fingerprint, the oldest being dropped, and of reports in a
@@ -64,6 +69,8 @@
         pub left: Duration,
         /// The names of the upstreams whose crashes are attributed to it, oldest crash first.
         pub crashed: Vec<String>,
+        /// When requests with it may run on trial; `None` if no response to one was ever complete.
+        pub trial: Option<Trial>,
     }
 }
 
@@ -100,32 +107,37 @@
     }
 }
 
-/// The number of separate events that the entries stem from.
+/// The first crash of each separate event that the entries stem from, oldest first.
 ///
 /// An attempt that began after a crash is a separate event; one that was running already is so
 /// only if its upstream crashed distinctly later.
-fn count_events<'a>(entries: impl Iterator<Item = &'a Entry>) -> usize {
+fn events<'a>(entries: impl Iterator<Item = &'a Entry>) -> Vec<Instant> {
     let mut entries: Vec<&Entry> = entries.collect();
     entries.sort_by_key(|entry| entry.crashed_at);
-    let mut first_crash: Option<Instant> = None;
-    let mut events = 0;
+    let mut events: Vec<Instant> = Vec::new();
     for entry in entries {
-        let is_separate = first_crash.is_none_or(|first| {
-            let since = entry.crashed_at - first;
+        let is_separate = events.last().is_none_or(|first| {
+            let since = entry.crashed_at - *first;
             since >= EVENT_GAP || entry.strike.ran_for <= since + ORDER_TOLERANCE
         });
         if is_separate {
-            events += 1;
-            first_crash = Some(entry.crashed_at);
+            events.push(entry.crashed_at);
         }
     }
     events
 }
 
+/// The number of separate events that the entries stem from.
+fn count_events<'a>(entries: impl Iterator<Item = &'a Entry>) -> usize {
+    events(entries).len()
+}
+
 /// The strikes observed by a host and by its peers, by fingerprint.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     strikes: HashMap<Tag, Vec<Entry>>,
+    /// The latest complete response under each fingerprint that has strikes, cleared or not.
+    proofs: HashMap<Tag, Instant>,
 }
 
 impl Ledger {
@@ -169,6 +181,40 @@
             .collect()
     }
 
+    /// Records a complete response under a fingerprint that has strikes; returns false if that changes
+    /// nothing.
+    ///
+    /// Kept for as long as strikes are, and known to all hosts as they are: a host that has heard of the
+    /// crashes only would suspect what others have seen completed.
+    pub fn prove(&mut self, fingerprint: Tag, completed_at: Instant, now: Instant) -> bool {
+        let is_expired = now.saturating_duration_since(completed_at) >= RETENTION;
+        if is_expired || !self.strikes.contains_key(&fingerprint) {
+            return false;
+        }
+        let known = self.proofs.get(&fingerprint).copied();
+        if known.is_some_and(|known| completed_at < known + PROOF_GAP) {
+            return false;
+        }
+        self.proofs.insert(fingerprint, completed_at);
+        true
+    }
+
+    /// The complete responses under fingerprints with several strikes, for another host.
+    ///
+    /// One strike refuses nothing, and most fingerprints have no more.
+    pub fn proofs(&self, now: Instant) -> impl Iterator<Item = Proof> {
+        let several = self.proofs.iter().filter(|(own, _)| self.counted(**own).nth(1).is_some());
+        several.map(move |(fingerprint, completed_at)| Proof {
+            fingerprint: *fingerprint,
+            age: now.saturating_duration_since(*completed_at),
+        })
+    }
+
+    /// When the latest known response under a fingerprint with strikes was complete.
+    pub fn proof(&self, fingerprint: Tag) -> Option<Instant> {
+        self.proofs.get(&fingerprint).copied()
+    }
+
     /// Whether the fingerprint has a strike that is not cleared.
     pub fn is_struck(&self, fingerprint: Tag) -> bool {
         self.counted(fingerprint).next().is_some()
@@ -194,15 +240,20 @@
         Some(latest.strike.crash.upstream)
     }
 
-    /// The longest quarantine of a request's fingerprints; `None` if it may run.
+    /// The quarantines of a request's fingerprints; none if it may run.
     ///
     /// Where fingerprints explain the same crashes, a request with all of them is refused, and one with
     /// some of them may run: its response, or its crash, shows which it is.
-    pub fn quarantine_of(&self, request: &Fingerprints, now: Instant) -> Option<Quarantine> {
+    pub fn quarantines_of(&self, request: &Fingerprints, now: Instant) -> Vec<Quarantine> {
         let all: Vec<Tag> = request.all().collect();
         let is_beside = |other| all.contains(&other);
-        let quarantines = all.iter().filter_map(|own| self.quarantine_beside(*own, is_beside, now));
-        quarantines.max_by_key(|quarantine| quarantine.left)
+        all.iter().filter_map(|own| self.quarantine_beside(*own, is_beside, now)).collect()
+    }
+
+    /// The longest quarantine of a request's fingerprints; see [`Ledger::quarantines_of`].
+    pub fn quarantine_of(&self, request: &Fingerprints, now: Instant) -> Option<Quarantine> {
+        let quarantines = self.quarantines_of(request, now);
+        quarantines.into_iter().max_by_key(|quarantine| quarantine.left)
     }
 
     /// The quarantine of the fingerprint; `None` if it may run.
@@ -225,8 +276,12 @@
         let latest = own.iter().map(|entry| entry.crashed_at).max()?;
         let until = latest + length.min(MAX_QUARANTINE);
         let left = until.checked_duration_since(now).filter(|left| !left.is_zero())?;
+        let trial = self.proofs.contains_key(&fingerprint).then(|| {
+            let pause = trial::pause(&self::events(own.iter().copied()), limit(fingerprint));
+            Trial { crashed_at: latest, opens_at: latest + pause }
+        });
         let crashed = own.into_iter().map(|entry| entry.strike.crash.name.clone()).collect();
-        Some(Quarantine { fingerprint, left, crashed })
+        Some(Quarantine { fingerprint, left, crashed, trial })
     }
 
     /// The remaining time for which the fingerprint is refused; `None` if it may run.
@@ -294,6 +349,10 @@
             let latest = known.iter().map(|entry| entry.crashed_at).max();
             latest.is_some_and(|at| now.saturating_duration_since(at) < RETENTION)
         });
+        self.proofs.retain(|fingerprint, completed_at| {
+            self.strikes.contains_key(fingerprint)
+                && now.saturating_duration_since(*completed_at) < RETENTION
+        });
     }
 
     /// The strikes of a fingerprint that are not cleared.
@@ -302,16 +361,25 @@
         known.filter(|entry| !entry.is_cleared)
     }
 
-    /// The strikes of a fingerprint without those for crashes under a fingerprint that more
-    /// events count against.
+    /// The strikes of a fingerprint without those for crashes that another one explains better.
     fn unexplained(&self, fingerprint: Tag) -> impl Iterator<Item = &Entry> {
-        let weight = self.count(fingerprint);
+        let own_suspicion = self.suspicion(fingerprint);
         self.counted(fingerprint).filter(move |own| {
             let mut others = self.others_struck_for(fingerprint, own);
-            !others.any(|other| self.count(other) > weight)
+            !others.any(|other| self.suspicion(other).compare(own_suspicion) == Ordering::Greater)
         })
     }
 
+    /// What is to be compared with other explanations of the crashes under the fingerprint.
+    fn suspicion(&self, fingerprint: Tag) -> Suspicion {
+        let events = self.count(fingerprint);
+        Suspicion {
+            events,
+            is_proven: self.proofs.contains_key(&fingerprint),
+            is_repeated: events >= LIMIT,
+        }
+    }
+
     /// The strikes attributed to the fingerprint, oldest first, and the number of their events;
     /// `None` below the limit.
     ///
@@ -336,7 +404,7 @@
         is_attributed.then_some((events, own))
     }
 
-    /// Whether another fingerprint that as many events count against explains all of `own`.
+    /// Whether another fingerprint that is as suspicious explains all of `own`.
     fn is_ambiguous(
         &self,
         fingerprint: Tag,
@@ -344,11 +412,11 @@
         is_beside: impl Fn(Tag) -> bool,
     ) -> bool {
         let Some((first, rest)) = own.split_first() else { return false };
-        let weight = self.count(fingerprint);
+        let suspicion = self.suspicion(fingerprint);
         let mut others =
             self.others_struck_for(fingerprint, first).filter(|other| !is_beside(*other));
         others.any(|other| {
-            self.count(other) == weight
+            self.suspicion(other).compare(suspicion) == Ordering::Equal
                 && rest.iter().all(|own| self.counted(other).any(|e| e.is_same_crash(own)))
         })
     }
@@ -370,6 +438,32 @@
             });
             let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) else { return };
             self.strikes.remove(&fingerprint);
+            self.proofs.remove(&fingerprint);
+        }
+    }
+}
+
+/// How likely it is that crashes under a fingerprint are due to it.
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    /// The number of separate events in which upstreams crashed under it.
+    events: usize,
+    /// Whether a response under it was completed.
+    is_proven: bool,
+    /// Whether several events count against it, so that it is hardly there by chance.
+    is_repeated: bool,
+}
+
+impl Suspicion {
+    /// Compares two explanations of a crash.
+    ///
+    /// More events make one likelier. But no upstream has survived what no response was completed under,
+    /// so that it is likelier than what upstreams survive, with some crashes of other causes beside it.
+    fn compare(self, other: Self) -> Ordering {
+        match (self.is_proven, other.is_proven) {
+            (false, true) if self.is_repeated => Ordering::Greater,
+            (true, false) if other.is_repeated => Ordering::Less,
+            _ => self.events.cmp(&other.events),
         }
     }
 }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -12,7 +12,7 @@
 use damaskhatch_policy::route::Pair;
 use damaskhatch_policy::schedule::message::{Claim, Demand, Release};
 use damaskhatch_policy::speed;
-use damaskhatch_policy::strike::Report;
+use damaskhatch_policy::strike::{Proof, Report};
 
 plain! { data
     /// The payload of a frame.
@@ -289,5 +289,7 @@
         },
         /// Tells how fast upstreams work.
         Speeds(Vec<speed::Notice>),
+        /// Tells of complete responses under fingerprints that have strikes.
+        Proofs(Vec<Proof>),
     }
 }
