Wait before orders after the first restore of a store whose eras begin with 0

Cause: a claim that overwrites none counts as the first, which needs no wait, unless the store's era shows a restore. Era 1 may be the first era or the one after the first restore. The tenure of slots also used what the host had seen; the claim did not.

Change: the claim asks Shared::may_follow_restore, which knows the era, whether the host's calls have seen an earlier one, and what other hosts announce.

--- a/crates/damaskhatch/src/control/roster/era.rs
+++ b/crates/damaskhatch/src/control/roster/era.rs
@@ -1,24 +1,15 @@
 //! Gives up a host's slots after a restore of the store.
 
-use damaskhatch_policy::position::Position;
-
 use super::Keeper;
 use crate::prelude::*;
 
 impl Keeper {
-    /// The highest era in the epochs of other hosts; 0 if none has seen a restore of the store.
+    /// Gives up the lease and all slots if the store was restored since the last call.
     ///
     /// A host that is cut off from the store has to give up its slots, too, before others may
     /// hold them.
-    pub(super) fn announced_era(&self) -> u64 {
-        let hosts = self.shared.hosts();
-        let announced = hosts.members().map(|member| Position::of(member.record.epoch).era);
-        announced.max().unwrap_or(0)
-    }
-
-    /// Gives up the lease and all slots if the store was restored since the last call.
     pub(super) fn enter_era(&mut self) {
-        let (seen, announced) = (self.shared.era.latest(), self.announced_era());
+        let (seen, announced) = (self.shared.era.latest(), self.shared.announced_era());
         if !self.tenure.enter_era(seen, announced) {
             return;
         }
--- a/crates/damaskhatch/src/control/roster/observe.rs
+++ b/crates/damaskhatch/src/control/roster/observe.rs
@@ -64,7 +64,7 @@
         others.remove(&self.shared.host);
         let expiry = self.silence_limit();
         let limit = expiry.unwrap_or(LEASE_TTL + VOUCH_TTL);
-        let era = self.shared.era.latest().max(self.announced_era());
+        let era = self.shared.era.latest().max(self.shared.announced_era());
         observed.is_settled = others.into_iter().all(|host| {
             if let Some(member) = hosts.member(host).filter(|member| member.is_alive(now)) {
                 // A later epoch than the era's first shows a roster that this host has not read.
--- a/crates/damaskhatch/src/control/stages.rs
+++ b/crates/damaskhatch/src/control/stages.rs
@@ -161,7 +161,7 @@
     let holder = &shared.settings.host.name;
     let own = format!("{holder} {}", shared.incarnation);
     let Some(claim) = claim else {
-        return acquire_claim(client, own).await.map(Outcome::Claimed);
+        return acquire_claim(shared, client, own).await.map(Outcome::Claimed);
     };
     let read_started = boot_time();
     if read_started < claim.usable_from {
@@ -184,7 +184,7 @@
 }
 
 /// Overwrites the key with this host's name.
-async fn acquire_claim(client: Client, own: String) -> Result<Claim, Error> {
+async fn acquire_claim(shared: &Shared, client: Client, own: String) -> Result<Claim, Error> {
     let expect = match client.get(CLAIM_KEY).await {
         Ok(item) => item.version,
         Err(Error::Missing) => 0,
@@ -193,7 +193,7 @@
     let version =
         client.compare_and_swap(CLAIM_KEY, &Swap { value: own, expect, lease: None }).await?;
     // No order precedes the first claim; a restored store may have lost it.
-    let is_first = expect == 0 && !Position::of(version).may_follow_restore();
+    let is_first = expect == 0 && !shared.may_follow_restore(Position::of(version));
     let wait = if is_first { Duration::ZERO } else { CLAIM_WAIT };
     Ok(Claim { version, usable_from: BootTime(boot_time().0 + wait) })
 }
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -9,6 +9,7 @@
 use damaskhatch_policy::homes::Regions;
 use damaskhatch_policy::limit;
 use damaskhatch_policy::membership::View;
+use damaskhatch_policy::position::Position;
 use damaskhatch_policy::prelude::*;
 use damaskhatch_policy::registry::Registry;
 use damaskhatch_policy::rendezvous;
@@ -113,6 +114,19 @@
         Arc::clone(&self.strikes.borrow())
     }
 
+    /// The highest era in the epochs of other hosts; 0 if none has seen a restore of the store.
+    pub fn announced_era(&self) -> u64 {
+        let hosts = self.hosts();
+        let announced = hosts.members().map(|member| Position::of(member.record.epoch).era);
+        announced.max().unwrap_or(0)
+    }
+
+    /// Whether the store may have been restored before a position, as far as its era, the calls of this
+    /// host and what other hosts announce show.
+    pub fn may_follow_restore(&self, position: Position) -> bool {
+        position.follows_restore() || self.era.has_seen_restore() || self.announced_era() > 0
+    }
+
     /// The place of this host among the live hosts in the rendezvous order of a role, from 0.
     pub fn rank_for(&self, role: Tag, now: Instant) -> usize {
         let hosts = self.hosts();
--- a/crates/policy/src/position.rs
+++ b/crates/policy/src/position.rs
@@ -33,8 +33,10 @@
         Self { era, revision }
     }
 
-    /// Whether the store may have been restored before this position, as far as its era shows.
-    pub const fn may_follow_restore(self) -> bool {
+    /// Whether the store must have been restored before this position, as far as its era shows.
+    ///
+    /// In the first era that a restore leads to, only those can tell who have seen an earlier one.
+    pub const fn follows_restore(self) -> bool {
         self.era > MAX_FIRST_ERA
     }
 
--- a/crates/policy/src/tenure/era.rs
+++ b/crates/policy/src/tenure/era.rs
@@ -9,7 +9,7 @@
     /// The epoch before the first roster of the store's era; 0 if the store was never restored.
     pub(super) fn first_epoch(&self) -> u64 {
         let first = Position::new(self.era.unwrap_or(0), 0);
-        let is_restored = self.has_seen_restore || first.may_follow_restore();
+        let is_restored = self.has_seen_restore || first.follows_restore();
         if is_restored { first.version().unwrap_or(0) } else { 0 }
     }
 
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -5,9 +5,16 @@
 
 use crate::error::{Error, Result};
 
-/// The latest era that any call of a host has seen; its clones share it.
+/// The eras that the calls of a host have seen.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    first: u64,
+    latest: u64,
+}
+
+/// The eras that any call of a host has seen; its clones share them.
 #[derive(Debug, Clone)]
-pub struct Tracker(watch::Sender<Option<u64>>);
+pub struct Tracker(watch::Sender<Option<Seen>>);
 
 impl Default for Tracker {
     fn default() -> Self {
@@ -18,11 +25,16 @@
 impl Tracker {
     /// The latest era; 0 before the first response.
     pub fn latest(&self) -> u64 {
-        self.0.borrow().unwrap_or(0)
+        self.0.borrow().map_or(0, |seen| seen.latest)
+    }
+
+    /// Whether a call has seen that the store was restored, whatever its first era is.
+    pub fn has_seen_restore(&self) -> bool {
+        self.0.borrow().is_some_and(|seen| seen.latest > seen.first)
     }
 
     /// A receiver that is notified of each restore from now on, but not of the first era.
-    pub fn restores(&self) -> watch::Receiver<Option<u64>> {
+    pub fn restores(&self) -> watch::Receiver<Option<Seen>> {
         self.0.subscribe()
     }
 
@@ -30,11 +42,14 @@
     /// response one from before the restore.
     pub(crate) fn observe(&self, era: u64) -> Result<()> {
         self.0.send_if_modified(|seen| {
-            let before = *seen;
-            *seen = before.max(Some(era));
-            let is_restored = before.is_some() && *seen > before;
-            if is_restored && let Some(before) = before {
-                log::warn!("event=store_restored era={era} before={before}");
+            let Some(seen) = seen else {
+                *seen = Some(Seen { first: era, latest: era });
+                return false;
+            };
+            let is_restored = era > seen.latest;
+            if is_restored {
+                log::warn!("event=store_restored era={era} before={}", seen.latest);
+                seen.latest = era;
             }
             is_restored
         });
