Refuse requests for a bad part before they take a place on trial

Found on reading the change again: a request with a part on trial and a part that is refused for good was admitted to the trial first and then refused for the other part. While requests with a bad part keep coming they could take the places of sound ones, which no complete response then clears.

Change: Trials::admit_all decides on all quarantines of a request; those without a trial go first. a_request_with_a_bad_part_takes_no_place_on_trial guards it.

--- a/crates/damaskhatch/src/control/strikes/mod.rs
+++ b/crates/damaskhatch/src/control/strikes/mod.rs
@@ -225,10 +225,11 @@
 
     /// Settles the responses that are old enough.
     fn settle_due(&mut self, ctx: &mut Context<Self>) {
-        let due_before = Instant::now() - SETTLING_TIME;
-        while let Some((served_at, served)) =
-            self.settling.pop_front_if(|(at, _)| *at <= due_before)
-        {
+        let now = Instant::now();
+        let is_due = |(served_at, _): &mut (Instant, Served)| {
+            now.saturating_duration_since(*served_at) >= SETTLING_TIME
+        };
+        while let Some((served_at, served)) = self.settling.pop_front_if(is_due) {
             self.settle(&served, served_at, ctx);
         }
     }
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -160,12 +160,14 @@
         }
         let now = Instant::now();
         let quarantines = ledger.quarantines_of(fingerprints, now);
-        let held = quarantines.into_iter().filter_map(|quarantine| {
-            let request = Tag::of(&format!("{label} {}", fingerprints.request));
-            let wait = self.try_on_trial(&label, &quarantine, request, now).err()?;
-            Some((wait, quarantine))
-        });
-        let Some((left, quarantine)) = held.max_by_key(|(wait, _)| *wait) else {
+        if quarantines.is_empty() {
+            return Ok(ledger.suspected_crash(fingerprints.request));
+        }
+        let request = Tag::of(&format!("{label} {}", fingerprints.request));
+        let rank_for = |fingerprint| self.shared.rank_for(fingerprint, now);
+        let admitted = self.trials().admit_all(quarantines, rank_for, request, now);
+        let Err((quarantine, left)) = admitted else {
+            self.shared.journal.record(label, format_args!("event=on_trial"));
             return Ok(ledger.suspected_crash(fingerprints.request));
         };
         let Quarantine { fingerprint, crashed, trial, .. } = quarantine;
@@ -185,22 +187,9 @@
         })
     }
 
-    /// Runs a quarantined request on trial, or returns the time for which it is refused.
-    fn try_on_trial(
-        &self,
-        label: impl std::fmt::Display,
-        quarantine: &Quarantine,
-        request: Tag,
-        now: Instant,
-    ) -> Result<(), Duration> {
-        let Quarantine { fingerprint, left, trial, .. } = quarantine;
-        let Some(trial) = trial else { return Err(*left) };
-        let rank = self.shared.rank_for(*fingerprint, now);
-        let mut trials = self.trials.lock().unwrap_or_else(PoisonError::into_inner);
-        trials.admit(*fingerprint, *trial, rank, request, now)?;
-        drop(trials);
-        self.shared.journal.record(label, format_args!("event=on_trial fingerprint={fingerprint}"));
-        Ok(())
+    /// Locks the trials of quarantined requests.
+    fn trials(&self) -> MutexGuard<'_, Trials> {
+        self.trials.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Reports a crash of an upstream under a request; returns once every thread knows of it.
--- a/crates/policy/src/strike/trial.rs
+++ b/crates/policy/src/strike/trial.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use super::{MAX_FINGERPRINTS, MAX_QUARANTINE};
+use super::{MAX_FINGERPRINTS, MAX_QUARANTINE, Quarantine};
 use crate::prelude::*;
 
 /// The time without a crash after which a trial may begin.
@@ -57,6 +57,33 @@
 }
 
 impl Trials {
+    /// Admits a request to the trials of all its quarantines, or returns the one that refuses it for
+    /// longest, and for how long.
+    ///
+    /// `rank_for` is the place of this host among the live ones for a fingerprint.
+    pub fn admit_all(
+        &mut self,
+        quarantines: Vec<Quarantine>,
+        rank_for: impl Fn(Tag) -> usize,
+        request: Tag,
+        now: Instant,
+    ) -> Result<(), (Quarantine, Duration)> {
+        // A request that is refused anyway must not take a place that another one could use.
+        let (open, closed): (Vec<_>, Vec<_>) =
+            quarantines.into_iter().partition(|quarantine| quarantine.trial.is_some());
+        if let Some(longest) = closed.into_iter().max_by_key(|quarantine| quarantine.left) {
+            let left = longest.left;
+            return Err((longest, left));
+        }
+        let refused = open.into_iter().filter_map(|quarantine| {
+            let rank = rank_for(quarantine.fingerprint);
+            let admitted =
+                self.admit(quarantine.fingerprint, quarantine.trial?, rank, request, now);
+            Some((quarantine, admitted.err()?))
+        });
+        refused.max_by_key(|(_, wait)| *wait).map_or(Ok(()), Err)
+    }
+
     /// Admits a request with a quarantined fingerprint to its trial, or returns the time after which
     /// another one may be admitted.
     ///
--- a/crates/policy/tests/trials/fleet.rs
+++ b/crates/policy/tests/trials/fleet.rs
@@ -124,12 +124,7 @@
         now: Instant,
     ) -> bool {
         let quarantines = self.ledger.quarantines_of(request, now);
-        quarantines.into_iter().all(|quarantine| {
-            let own = quarantine.fingerprint;
-            quarantine.trial.is_some_and(|trial| {
-                self.trials.admit(own, trial, rank(own), request.request, now).is_ok()
-            })
-        })
+        self.trials.admit_all(quarantines, rank, request.request, now).is_ok()
     }
 
     /// Merges news and returns what this host can prove of them.
--- a/crates/policy/tests/trials/main.rs
+++ b/crates/policy/tests/trials/main.rs
@@ -110,6 +110,33 @@
     assert_eq!(proven.latest(id(SHARED), start + RETENTION), None);
 }
 
+/// Guards against requests that are refused for a bad part and take the place of a sound one on trial.
+#[test]
+fn a_request_with_a_bad_part_takes_no_place_on_trial() {
+    let (mut ledger, mut now) = (Ledger::default(), Instant::now());
+    for run in 0..2 * PART_LIMIT as u64 {
+        now += PAUSE;
+        let parts: &[&str] = if run % 2 == 0 { &[SHARED] } else { &[BAD] };
+        crash(&mut ledger, run, &request(run, parts), now);
+    }
+    assert!(ledger.prove(id(SHARED), now, now));
+    now += PAUSE;
+    let mut trials = Trials::default();
+    let mut admit = |number, parts: &[&str]| {
+        let request = request(number, parts);
+        let quarantines = ledger.quarantines_of(&request, now);
+        assert!(!quarantines.is_empty(), "{parts:?}");
+        trials.admit_all(quarantines, |_| 0, request.request, now)
+    };
+    for number in 100..110 {
+        let refused = admit(number, &[SHARED, BAD]).expect_err("refused").0;
+        assert_eq!(refused.fingerprint, id(BAD));
+    }
+    assert!(admit(200, &[SHARED]).is_ok(), "its place was taken");
+    let (_, wait) = admit(201, &[SHARED]).expect_err("only one at first");
+    assert!(wait <= STEP);
+}
+
 /// Guards against a trial that sends many requests to upstreams before it has shown anything.
 #[test]
 fn the_number_of_requests_on_trial_doubles_while_no_upstream_crashes() {
