Show that streams join two versions of a restarted engine

Case 13 has an engine go down and up by turns under its id, with another software version from its first new start on. Streams that begin before it has written its entry count as streams of the earlier version, and go on there when the engine goes down again. The stand-in engines now drop a stream as soon as its connection is closed.

--- a/review/kit-3/standins.py
+++ b/review/kit-3/standins.py
@@ -380,7 +380,8 @@
                 event = f"id: {number}\ndata: {self.version}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
-                await asyncio.sleep(self.event_s)
+                # It drops the request as soon as its connection is closed.
+                await asyncio.wait({left}, timeout=self.event_s)
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         finally:
