Hold back what a started host reads from a restored store

Cause: a host took its first read of the store for the newest configuration. Nothing told it that the store had been restored, and until the first heartbeats it knew of no host with a newer revision. Asking the others is not enough: they may be paused, and hosts that start together know no more.

Change: hosts that were up to date at a restore write a record into the store, once an era, of the revision that a configuration must have. A host without a configuration puts none in force until the store has that revision, a peer sends it, an operator writes in that era, or, where there is no record, 5 s have passed. Until then it answers 503 with the time that is left, and is not ready. A host that was not up to date at the restore does not confirm its age by the store meanwhile. Both faces use it. A host sends its first heartbeat at once, and others reply at once to a host that has started. GET /v1/models no longer answers 401 without a configuration.

--- a/crates/damaskhatch/src/config_pull.rs
+++ b/crates/damaskhatch/src/config_pull.rs
@@ -101,6 +101,9 @@
     pub withdrawn: Vec<String>,
     /// The domains that are evacuated, as far as the read shows; unchanged from a peer.
     pub evacuations: Evacuations,
+    /// Whether operators wrote the configuration while it was being watched; never true of one that hosts
+    /// write.
+    pub is_change: bool,
     /// What it took to read, for logs.
     pub cost: Cost,
 }
@@ -150,25 +153,26 @@
 /// a further read goes on where this one fails.
 pub async fn pull(source: Source, revision: u64, archive: SharedArchive) -> Result<Pulled> {
     let started = Instant::now();
-    let Latest { head, version, withdrawn, rows, evacuations, mut cost } =
+    let Latest { head, version, withdrawn, rows, evacuations, is_change, mut cost } =
         read_head(&source).await?;
+    let complete = |head, rows, chunks, cost| Pulled {
+        head,
+        version,
+        rows,
+        chunks,
+        withdrawn,
+        evacuations,
+        is_change,
+        cost,
+    };
     if let Some(rows) = rows.filter(|_| head.revision > revision) {
         let decoded_at = Instant::now();
         let (head, chunks) = encode_chunks(head.revision, &rows, &archive);
         cost.decoding += decoded_at.elapsed();
-        return Ok(Pulled {
-            head,
-            version,
-            rows: Some(rows),
-            chunks,
-            withdrawn,
-            evacuations,
-            cost,
-        });
+        return Ok(complete(head, Some(rows), chunks, cost));
     }
     if head.revision <= revision {
-        let chunks = Chunks::new();
-        return Ok(Pulled { head, version, rows: None, chunks, withdrawn, evacuations, cost });
+        return Ok(complete(head, None, Chunks::new(), cost));
     }
     cost.bytes += read_chunks(&source, &head, &archive).await?;
     cost.reading = started.elapsed();
@@ -180,7 +184,7 @@
         chunks.insert(digest.clone(), chunk);
     }
     cost.decoding = started.elapsed().saturating_sub(cost.reading);
-    Ok(Pulled { head, version, rows: Some(rows), chunks, withdrawn, evacuations, cost })
+    Ok(complete(head, Some(rows), chunks, cost))
 }
 
 /// The head of the newest configuration, with the other data that its source sends.
@@ -192,6 +196,8 @@
     rows: Option<Vec<Row>>,
     /// The domains that are evacuated.
     evacuations: Evacuations,
+    /// Whether operators wrote the rows during a watch.
+    is_change: bool,
     /// What it took to read those rows.
     cost: Cost,
 }
@@ -199,7 +205,7 @@
 impl Latest {
     fn without_rows(head: Head, version: u64, withdrawn: Vec<String>) -> Self {
         let (evacuations, cost) = (Evacuations::Unknown, Cost::default());
-        Self { head, version, withdrawn, rows: None, evacuations, cost }
+        Self { head, version, withdrawn, rows: None, evacuations, is_change: false, cost }
     }
 }
 
@@ -258,6 +264,7 @@
         withdrawn: Vec::new(),
         rows: Some(configuration.rows),
         evacuations,
+        is_change: !is_complete,
         cost,
     })
 }
--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -8,14 +8,15 @@
 use std::sync::Arc;
 
 use damaskhatch_policy::config::{Applied, Head, Snapshot, State};
-use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::freshness::{BootTime, Freshness};
 use damaskhatch_policy::sheet::Row;
 use damaskhatch_store::error::Error;
 use damaskhatch_store::prelude::{Client, Store};
 use damaskhatch_wire::prelude::Body;
 use tokio::sync::watch;
 
-use crate::config_pull::{self, Cost, Evacuations, Foreign, Pulled, Source, encode_chunks, pull};
+use crate::clock::boot_time;
+use crate::config_pull::{self, Cost, Evacuations, Foreign, Pulled, Source, encode_chunks};
 use crate::control::Incoming;
 use crate::control::dependency::Dependency;
 use crate::control::evacuation;
@@ -28,10 +29,12 @@
 mod handlers;
 pub mod message;
 mod reading;
+mod restored;
 
 use archive::lock;
 pub use archive::{Archive, SharedArchive, respond};
 pub use message::{Accept, Confirmations, GetConfirmations, GetRows, Issue, Pull, Rows, Withdraw};
+use restored::Lost;
 
 /// How long one watch on the store waits for a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
@@ -61,6 +64,9 @@
 /// The pause between two attempts to save withdrawals in the store.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Why a started host refuses changes after a restore of the store.
+const HELD_BACK: &str = "the store was restored, and may lack the newest configuration";
+
 /// A withdrawal that is sent to all hosts.
 #[derive(Debug)]
 struct Broadcast {
@@ -70,12 +76,15 @@
     confirmed: HashSet<Tag>,
 }
 
-/// A configuration that the restored store has lost.
-struct Lost {
-    head: Head,
-    rows: Vec<Row>,
-    /// The version of the older head that the store has.
-    version: u64,
+/// The channels on which the configuration's actor publishes to all threads.
+#[derive(Debug)]
+pub struct Channels {
+    /// The configuration in force.
+    pub config: watch::Sender<Arc<Snapshot>>,
+    /// When it was last confirmed to be the newest.
+    pub freshness: watch::Sender<Freshness>,
+    /// Until when a configuration may be held back that was read from a restored store.
+    pub held_until: watch::Sender<Option<BootTime>>,
 }
 
 /// The actor that holds the configuration.
@@ -83,9 +92,10 @@
     shared: Shared,
     codec: SharedCodec,
     archive: SharedArchive,
-    publish: watch::Sender<Arc<Snapshot>>,
-    freshness: watch::Sender<Freshness>,
+    publish: Channels,
     store: Dependency,
+    /// What this host knows of restores of the store.
+    restored: restored::State,
     state: State,
     /// The version after which the store is watched; 0 makes the next read a plain one.
     version: u64,
@@ -111,16 +121,15 @@
         shared: Shared,
         codec: SharedCodec,
         archive: SharedArchive,
-        publish: watch::Sender<Arc<Snapshot>>,
-        freshness: watch::Sender<Freshness>,
+        publish: Channels,
     ) -> Self {
         Self {
             shared,
             codec,
             archive,
             publish,
-            freshness,
             store: Dependency::new("store", "configuration"),
+            restored: restored::State::default(),
             state: State::default(),
             version: 0,
             is_reading: false,
@@ -145,7 +154,8 @@
     ///
     /// Its withdrawals are applied in either case.
     fn apply_pulled(&mut self, pulled: Pulled, source: impl std::fmt::Display) {
-        let Pulled { head, version, rows, chunks, withdrawn, evacuations, cost } = pulled;
+        let Pulled { head, version, rows, chunks, withdrawn, evacuations, cost, is_change: _ } =
+            pulled;
         evacuation::learn(&self.shared, evacuations);
         self.version = self.version.max(version);
         let revision = head.revision;
@@ -180,7 +190,7 @@
         let snapshot = self.state.snapshot();
         lock(&self.archive).withdrawn = snapshot.withdrawn().map(str::to_owned).collect();
         self.shared.metrics.revision.set(snapshot.revision as i64);
-        self.publish.send_replace(snapshot);
+        self.publish.config.send_replace(snapshot);
     }
 
     /// Withdraws a key on this host; returns false if it was already withdrawn.
@@ -279,15 +289,19 @@
         let source = Source::Platform { client: client.clone(), foreign: None, after, wait };
         let archive = SharedArchive::clone(&self.archive);
         let revision = self.state.head().revision;
-        let pulled = async move { pull(source, revision, archive).await };
-        let written = pulled.into_actor(self).then(move |pulled, actor, _ctx| {
-            let pulled = pulled.map_err(|error| match error {
+        let (records, sent_at) = (self.unread_records(), boot_time());
+        let read = async move { restored::read(source, revision, archive, records).await };
+        let written = read.into_actor(self).then(move |read, actor, _ctx| {
+            let read = read.map_err(|error| match error {
                 config_pull::Error::Store(error) => error,
                 other => Error::Unreachable(other.to_string()),
             });
-            let prepared = pulled.and_then(|pulled| {
-                let lost = actor.lost_head(&pulled);
-                actor.apply_pulled(pulled, "platform");
+            let prepared = read.and_then(|read| {
+                let lost = actor.lost_head(&read.pulled);
+                actor.apply_read(read, sent_at);
+                if !actor.restored.held.is_empty() {
+                    return Err(Error::Unreachable(HELD_BACK.to_owned()));
+                }
                 Ok((rows(&actor.state)?, actor.state.head().revision, lost))
             });
             async move {
@@ -306,36 +320,6 @@
         }))
     }
 
-    /// The head in force with its rows, if the store has an older one.
-    ///
-    /// Only a restored store goes back. A read that was overtaken by a write of this host looks
-    /// the same, and the version that it read then makes the write of the older head fail.
-    fn lost_head(&self, pulled: &Pulled) -> Option<Lost> {
-        let (head, rows) = (self.state.head(), self.state.rows());
-        let is_own_format = self.foreign().is_none();
-        (is_own_format && pulled.head.revision < head.revision).then(|| Lost {
-            head: head.clone(),
-            rows: rows.to_vec(),
-            version: pulled.version,
-        })
-    }
-
-    /// Writes a configuration again that the restored store has lost.
-    fn write_lost(&self, lost: Lost, ctx: &mut Context<Self>) {
-        let Lost { head, rows, version } = lost;
-        let store = Store::new(self.client());
-        let written =
-            async move { (store.write_again(&head, &rows, version).await, head.revision) };
-        ctx.spawn(written.into_actor(self).map(
-            |(written, revision), _actor, _ctx| match written {
-                Ok(()) => log::warn!("event=config_written_again revision={revision}"),
-                Err(error) => {
-                    log::info!("event=config_not_written_again revision={revision} error={error}");
-                }
-            },
-        ));
-    }
-
     /// Puts in force a revision that this host wrote.
     fn apply_written(&mut self, head: &Head, rows: Vec<Row>) {
         let (_head, chunks) = encode_chunks(head.revision, &rows, &self.archive);
@@ -346,7 +330,9 @@
             let rows = Some(rows);
             let (withdrawn, evacuations) = (Vec::new(), Evacuations::Unknown);
             let cost = Cost::default();
-            let written = Pulled { head, version, rows, chunks, withdrawn, evacuations, cost };
+            let is_change = false;
+            let written =
+                Pulled { head, version, rows, chunks, withdrawn, evacuations, is_change, cost };
             self.apply_pulled(written, "operator");
         }
     }
@@ -365,6 +351,7 @@
         });
         ctx.run_interval(SAVE_INTERVAL, |actor, ctx| {
             guard(actor, ctx, Configuration::save_withdrawals);
+            guard(actor, ctx, Configuration::record_era);
         });
     }
 }
--- a/crates/damaskhatch/src/control/configuration/reading.rs
+++ b/crates/damaskhatch/src/control/configuration/reading.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Configuration, FIRST_WATCH_TIMEOUT, FRESHNESS_RETRY_PAUSE, FRESHNESS_WATCH_TIMEOUT,
-    MAX_FAILED_PULLS, MAX_PEERS_PER_PULL, WATCH_PAUSE, WATCH_TIMEOUT,
+    MAX_FAILED_PULLS, MAX_PEERS_PER_PULL, WATCH_PAUSE, WATCH_TIMEOUT, restored,
 };
 use crate::clock::boot_time;
 use crate::config_pull::{self, Source, pull};
@@ -22,6 +22,11 @@
     /// A host that is not a reader reads only if no reader keeps its configuration fresh, and no peer
     /// has a newer one: the pull from that peer takes less, and the two would share one link.
     pub(super) fn watch_store(&mut self, ctx: &mut Context<Self>) {
+        if !self.restored.held.is_empty() && self.state.head().revision > 0 {
+            // A peer had a newer one; what was held back beside it is read again.
+            self.restored.held.clear();
+            self.version = 0;
+        }
         if self.version > 0 && self.foreign().is_some() && self.shared.is_settling() {
             // Of the hosts that start together, most would watch the store for a moment only.
             ctx.run_later(WATCH_PAUSE, Self::watch_store);
@@ -38,11 +43,7 @@
         }
         let was_reading = std::mem::replace(&mut self.is_reading, true);
         let foreign = self.foreign();
-        let (watch_timeout, failed_pause) = if foreign.is_some() {
-            (FRESHNESS_WATCH_TIMEOUT, FRESHNESS_RETRY_PAUSE)
-        } else {
-            (WATCH_TIMEOUT, WATCH_PAUSE)
-        };
+        let failed_pause = if foreign.is_some() { FRESHNESS_RETRY_PAUSE } else { WATCH_PAUSE };
         let source = Source::Platform {
             client: self.client(),
             foreign,
@@ -51,7 +52,7 @@
             wait: if self.version == 0 || !self.store.is_reachable() {
                 Duration::ZERO
             } else if was_reading {
-                watch_timeout
+                self.watch_timeout()
             } else {
                 FIRST_WATCH_TIMEOUT
             },
@@ -59,24 +60,24 @@
         let (sent_at, after, started) = (boot_time(), self.version, Instant::now());
         let archive = Arc::clone(&self.archive);
         let revision = self.state.head().revision;
-        let pulled = async move { pull(source, revision, archive).await };
-        ctx.spawn(pulled.into_actor(self).map(move |pulled, actor, ctx| {
-            let pause = match pulled {
-                Ok(pulled) => {
+        let records = self.unread_records();
+        let read = async move { restored::read(source, revision, archive, records).await };
+        ctx.spawn(read.into_actor(self).map(move |read, actor, ctx| {
+            let pause = match read {
+                Ok(read) => {
                     actor.store.record_result(None::<&Error>);
-                    let is_missing = pulled.version == 0;
+                    let is_missing = read.pulled.version == 0;
                     if is_missing && after > 0 {
                         // Also where the store was restored since; only a read shows what it has.
                         actor.version = 0;
-                    } else if let Some(lost) = actor.lost_head(&pulled) {
+                    } else if let Some(lost) = actor.lost_head(&read.pulled) {
                         actor.write_lost(lost, ctx);
                     }
-                    actor.apply_pulled(pulled, "platform");
-                    // A restored store may have an older configuration than a host.
-                    if !actor.shared.is_behind_peer() {
-                        actor.freshness.send_modify(|freshness| freshness.confirm(sent_at));
-                    }
+                    actor.apply_read(read, sent_at);
+                    actor.confirm(sent_at);
+                    actor.record_era(ctx);
                     match (is_missing, actor.shared.is_reader()) {
+                        (false, false) if !actor.restored.held.is_empty() => DIRECT_READ_AFTER,
                         (false, _) => Duration::ZERO,
                         (true, true) => WATCH_PAUSE,
                         // The readers announce the first configuration.
@@ -106,6 +107,22 @@
         }));
     }
 
+    /// How long a watch waits; no longer than a configuration is held back.
+    pub(super) fn watch_timeout(&self) -> Duration {
+        let timeout =
+            if self.foreign().is_some() { FRESHNESS_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
+        let (Some(era), Some(read)) =
+            (self.restored.era.filter(|_| !self.restored.held.is_empty()), self.restored.last_read)
+        else {
+            return timeout;
+        };
+        // A call that is sent after the wait ends it.
+        if era.wait(read.sent_at).is_zero() {
+            return timeout;
+        }
+        era.wait(boot_time()).clamp(FIRST_WATCH_TIMEOUT, timeout)
+    }
+
     /// Pulls from peers with a newer configuration, if there are any.
     pub(super) fn pull_from_peers(&mut self, ctx: &mut Context<Self>) {
         let ahead = self.shared.hosts().peers_ahead(Instant::now(), &mut rand::rng());
--- a/crates/damaskhatch/src/control/follow.rs
+++ b/crates/damaskhatch/src/control/follow.rs
@@ -27,6 +27,9 @@
 
 /// The time between two queries.
 const QUERY_INTERVAL: Duration = Duration::from_millis(300);
+/// The time between two queries of a host that has a configuration, but has never known it to be the
+/// newest, and so refuses keys.
+const FIRST_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 /// The age of the configuration from which a reader queries other hosts as well.
 ///
 /// While the store is reachable, a reader's age rises up to the length of a watch, 1 s, and of
@@ -231,6 +234,12 @@
         ctx.run_interval(QUERY_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.send_query());
         });
+        ctx.run_interval(FIRST_QUERY_INTERVAL, |actor, ctx| {
+            let awaits_first = actor.shared.config_age().is_none();
+            if awaits_first && actor.shared.snapshot().revision > 0 {
+                guard(actor, ctx, |actor, _| actor.send_query());
+            }
+        });
     }
 }
 
--- a/crates/damaskhatch/src/control/membership.rs
+++ b/crates/damaskhatch/src/control/membership.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 use crate::settings::Settings;
 use damaskhatch_policy::availability::Notice;
-use damaskhatch_policy::membership::{HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
+use damaskhatch_policy::membership::{Count, HEARTBEAT_INTERVAL, Headroom, Listed, Record, View};
 use damaskhatch_policy::position::Position;
 use damaskhatch_store::message;
 use damaskhatch_wire::prelude::Body;
@@ -81,14 +81,20 @@
         Self { shared, view, publish, rng, listed_leaving, reported_leaving, list_read_at }
     }
 
-    /// Updates this host's own record and sends the heartbeats that are due.
-    fn send_heartbeats(&mut self) {
-        let now = Instant::now();
+    /// Updates what this host's own record says of its configuration and its stop.
+    fn update_own(&mut self) {
         let snapshot = self.shared.snapshot();
         let own = &mut self.view.own;
         own.revision = snapshot.revision;
         own.withdrawn = snapshot.withdrawn().count() as u32;
         own.is_leaving = self.shared.is_draining();
+    }
+
+    /// Updates this host's own record and sends the heartbeats that are due.
+    fn send_heartbeats(&mut self) {
+        let now = Instant::now();
+        self.update_own();
+        let own = &mut self.view.own;
         own.loads = self.shared.loads.snapshot().into_iter().collect();
         own.leaving_upstreams.clone_from(&self.reported_leaving);
         own.leaving_upstreams.extend(&self.listed_leaving);
@@ -157,6 +163,31 @@
         }
     }
 
+    /// Sends this host's record to a host that has just started, which may have an older configuration.
+    ///
+    /// The next heartbeat to it comes later by a heartbeat interval at least, and where there are many
+    /// hosts by several.
+    fn greet(&mut self, started: &Record) {
+        self.update_own();
+        let heartbeat =
+            Body::Heartbeat { records: vec![self.view.own.clone()], counts: Vec::new() };
+        self.shared.outbox.send(started.address, heartbeat);
+    }
+
+    /// Merges a heartbeat from the host `from`, and replies if that host has just started.
+    fn receive_heartbeat(&mut self, from: Tag, records: &[Record], counts: &[Count]) {
+        let own_record = records.iter().find(|record| record.host == from);
+        let started = own_record.filter(|record| {
+            let known = self.view.member(record.host).map(|member| member.record.incarnation);
+            known.is_none_or(|known| known < record.incarnation)
+        });
+        self.view.merge(records, counts, Instant::now());
+        self.publish();
+        if let Some(started) = started {
+            self.greet(started);
+        }
+    }
+
     /// Announces a new configuration if this host is a reader, from which the others then pull it.
     ///
     /// They learn of hosts that have pulled it from the usual heartbeats, so that a change costs a
@@ -257,6 +288,7 @@
         // A restored store may have lost the entry.
         on_restore(&self.shared.era, ctx, |actor, ctx| actor.register(ctx));
         on_change(self.shared.config.clone(), ctx, |actor, _ctx| actor.announce_revision());
+        self.send_heartbeats();
         ctx.run_interval(HEARTBEAT_INTERVAL, |actor, ctx| {
             guard(actor, ctx, |actor, _| actor.send_heartbeats());
         });
@@ -280,8 +312,7 @@
     fn handle(&mut self, message: Incoming, ctx: &mut Context<Self>) {
         guard(self, ctx, |actor, _| match &message.0.body {
             Body::Heartbeat { records, counts } => {
-                actor.view.merge(records, counts, Instant::now());
-                actor.publish();
+                actor.receive_heartbeat(message.0.from, records, counts);
             }
             Body::Availability(notices) => actor.merge_notices(notices),
             Body::Speeds(notices) => speeds::merge(&actor.shared, notices),
--- a/crates/damaskhatch/src/control/mod.rs
+++ b/crates/damaskhatch/src/control/mod.rs
@@ -22,7 +22,7 @@
 
 use actix::Arbiter;
 use damaskhatch_policy::config::Snapshot;
-use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::freshness::{BootTime, Freshness};
 use damaskhatch_policy::limit;
 use damaskhatch_policy::membership::View;
 use damaskhatch_policy::registry::Registry;
@@ -53,6 +53,8 @@
     pub registry: watch::Sender<Arc<Registry>>,
     /// When the configuration was last confirmed to be the newest.
     pub freshness: watch::Sender<Freshness>,
+    /// Until when a configuration may be held back that was read from a restored store.
+    pub held_until: watch::Sender<Option<BootTime>>,
     /// The requests that crashed upstreams.
     pub strikes: watch::Sender<Arc<Ledger>>,
     /// The limits that upstreams have named.
@@ -122,7 +124,7 @@
         archive: &configuration::SharedArchive,
         publish: Publishers,
     ) -> Self {
-        let Publishers { config, view, registry, freshness, strikes, limits } = publish;
+        let Publishers { config, view, registry, freshness, held_until, strikes, limits } = publish;
         let follow_freshness = freshness.clone();
         let thread = arbiter.handle();
         let membership = {
@@ -132,8 +134,9 @@
         let configuration = {
             let shared = shared.clone();
             let (codec, archive) = (Arc::clone(codec), Arc::clone(archive));
+            let channels = configuration::Channels { config, freshness, held_until };
             supervisor::start(&thread, |_| {
-                configuration::Configuration::new(shared, codec, archive, config, freshness)
+                configuration::Configuration::new(shared, codec, archive, channels)
             })
         };
         let quota = {
--- a/crates/damaskhatch/src/entry/completion.rs
+++ b/crates/damaskhatch/src/entry/completion.rs
@@ -100,7 +100,7 @@
     entry: &Entry,
     id: Request,
 ) -> Result<Work, Refusal> {
-    let snapshot = require_snapshot(entry)?;
+    let snapshot = entry.configuration()?;
     let bytes = read_body(entry, body).await?;
     let completion = Completion::parse(style, &bytes)?;
     let service = snapshot
@@ -126,12 +126,6 @@
     })
 }
 
-/// Returns the configuration, or refuses the request if the host has none yet.
-pub fn require_snapshot(entry: &Entry) -> Result<std::sync::Arc<Snapshot>, Refusal> {
-    let snapshot = entry.shared.snapshot();
-    if snapshot.revision == 0 { Err(Kind::Unavailable.into()) } else { Ok(snapshot) }
-}
-
 /// Streams the response from a separate task, which ends when the caller closes its connection.
 async fn stream(
     entry: &web::Data<Entry>,
--- a/crates/damaskhatch/src/entry/mod.rs
+++ b/crates/damaskhatch/src/entry/mod.rs
@@ -29,6 +29,7 @@
 use damaskhatch_exchange::{self as exchange, Framing, HeaderMap, StatusCode};
 use damaskhatch_policy::availability::Statement;
 use damaskhatch_policy::backlog::Backlog;
+use damaskhatch_policy::config::Snapshot;
 use damaskhatch_policy::contest::Contest;
 use damaskhatch_policy::ending::Verdict;
 use damaskhatch_policy::length::Forecast;
@@ -43,6 +44,7 @@
 use serde_json::json;
 use tokio::time::timeout_at;
 
+use crate::clock::boot_time;
 use crate::control::Control;
 use crate::control::strikes::{Record, Served};
 use crate::relay::request::Routed;
@@ -263,6 +265,20 @@
         refusal
     }
 
+    /// The configuration in force; without one, asks the caller to come back when there should be one.
+    pub fn configuration(&self) -> Result<Arc<Snapshot>, Refusal> {
+        let snapshot = self.shared.snapshot();
+        if snapshot.revision > 0 {
+            return Ok(snapshot);
+        }
+        if self.shared.is_behind_peer() {
+            return Err(Refusal::after(Kind::Unavailable, BEHIND_RETRY_AFTER));
+        }
+        let held_until = *self.shared.held_until.borrow();
+        let wait = held_until.map(|until| until.since(boot_time())).filter(|wait| !wait.is_zero());
+        Err(wait.map_or(Kind::Unavailable.into(), |wait| Refusal::after(Kind::Unavailable, wait)))
+    }
+
     /// Logs and counts a request whose caller has closed its connection.
     ///
     /// `kind` is the value of the metric's `kind` label.
@@ -361,11 +377,12 @@
 
 /// Lists the models that the caller's team may use, which include the open ones.
 async fn list_models(request: HttpRequest, entry: web::Data<Entry>) -> HttpResponse {
-    let snapshot = entry.shared.snapshot();
-    let caller =
-        access::key_digest(&request).and_then(|digest| access::identify(&snapshot, digest));
-    let caller = match caller {
-        Ok(caller) => caller,
+    let identified = entry.configuration().and_then(|snapshot| {
+        let caller = access::identify(&snapshot, access::key_digest(&request)?)?;
+        Ok((snapshot, caller))
+    });
+    let (snapshot, caller) = match identified {
+        Ok(identified) => identified,
         Err(refusal) => return entry.refuse(entry.shared.next_request(), refusal),
     };
     let usable = snapshot.services.iter().filter(|(service, item)| {
--- a/crates/damaskhatch/src/entry/plain.rs
+++ b/crates/damaskhatch/src/entry/plain.rs
@@ -21,7 +21,7 @@
 use super::access::{Caller, authorize};
 use super::charge::charge;
 use super::closed::Closed;
-use super::completion::{require_snapshot, upstream_name};
+use super::completion::upstream_name;
 use super::hold::Charged;
 use super::idempotency::{self, Response};
 use super::openai::estimate_tokens;
@@ -111,7 +111,7 @@
     entry: &Entry,
     id: Request,
 ) -> Result<Work, Refusal> {
-    let snapshot = require_snapshot(entry)?;
+    let snapshot = entry.configuration()?;
     let name = request.match_info().get("name").unwrap_or("");
     let service = snapshot
         .service(Tag::of(name))
--- a/crates/damaskhatch/src/host.rs
+++ b/crates/damaskhatch/src/host.rs
@@ -89,6 +89,7 @@
     let (view, view_seen) = watch::channel(Arc::new(initial_view(&settings, incarnation)));
     let (registry, registry_seen) = watch::channel(Arc::new(Registry::default()));
     let (freshness, freshness_seen) = watch::channel(Freshness::default());
+    let (held_until, held_until_seen) = watch::channel(None);
     let (strikes, strikes_seen) = watch::channel(Arc::new(Ledger::default()));
     let (limits, limits_seen) = watch::channel(Arc::new(limit::Table::default()));
     let shared = Shared {
@@ -104,6 +105,7 @@
         view: view_seen,
         registry: registry_seen,
         freshness: freshness_seen,
+        held_until: held_until_seen,
         strikes: strikes_seen,
         limits: limits_seen,
         availability: Availability::default(),
@@ -124,7 +126,7 @@
     let archive = Arc::new(Mutex::new(Archive::default()));
 
     let arbiter = Arbiter::new();
-    let publishers = Publishers { config, view, registry, freshness, strikes, limits };
+    let publishers = Publishers { config, view, registry, freshness, held_until, strikes, limits };
     let control = Control::start(&arbiter, &shared, &codec, &archive, publishers);
     let recipient = control.clone();
     let datagrams = Datagrams {
@@ -153,14 +155,7 @@
     if let Some(listener) = listeners.ready {
         start_readiness_server(listener, &shared)?;
     }
-    log::info!(
-        "event=started host={} domain={} caller={} operator={} peer={}",
-        settings.host.name,
-        settings.host.domain,
-        settings.host.caller,
-        settings.host.operator,
-        settings.host.peer
-    );
+    log_start(&settings);
     tokio::select! {
         () = wait_for_stop(&mut signals, &settings) => {}
         () = stop.notified() => log::info!("event=stop_requested by=operator"),
@@ -175,6 +170,18 @@
     Ok(())
 }
 
+/// Logs the addresses at which a host can be reached.
+fn log_start(settings: &Settings) {
+    log::info!(
+        "event=started host={} domain={} caller={} operator={} peer={}",
+        settings.host.name,
+        settings.host.domain,
+        settings.host.caller,
+        settings.host.operator,
+        settings.host.peer
+    );
+}
+
 /// Starts the server that callers connect to.
 fn start_caller_server(
     listener: TcpListener,
--- a/crates/damaskhatch/src/relay/request.rs
+++ b/crates/damaskhatch/src/relay/request.rs
@@ -116,10 +116,7 @@
 ) -> Result<Routed, Refusal> {
     let arrived_at = Instant::now();
     let dialect = entry.shared.deployment.dialect;
-    let snapshot = entry.shared.snapshot();
-    if snapshot.revision == 0 {
-        return Err(Kind::Unavailable.into());
-    }
+    let snapshot = entry.configuration()?;
     let host = host_name(request);
     let path = request.uri().path();
     let route = snapshot.routes.find(host, path).ok_or(Refusal::from(Kind::UnknownService))?;
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -5,7 +5,7 @@
 
 use damaskhatch_exchange::pool::Pool;
 use damaskhatch_policy::config::Snapshot;
-use damaskhatch_policy::freshness::Freshness;
+use damaskhatch_policy::freshness::{BootTime, Freshness};
 use damaskhatch_policy::homes::Regions;
 use damaskhatch_policy::limit;
 use damaskhatch_policy::membership::View;
@@ -62,6 +62,8 @@
     pub registry: watch::Receiver<Arc<Registry>>,
     /// When the configuration was last known to be the newest.
     pub freshness: watch::Receiver<Freshness>,
+    /// Until when a configuration may be held back that was read from a restored store.
+    pub held_until: watch::Receiver<Option<BootTime>>,
     /// The requests that crashed upstreams.
     pub strikes: watch::Receiver<Arc<Ledger>>,
     /// The limits that upstreams have named.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod quota;
 pub mod registry;
 pub mod rendezvous;
+pub mod restore;
 pub mod retry;
 pub mod route;
 pub mod routing;
--- a/crates/standins/tests/keys.rs
+++ b/crates/standins/tests/keys.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::{call, complete, eventually, start_proxied};
@@ -73,6 +74,13 @@
     assert!(!seen.to_lowercase().contains("bearer"), "no upstream received an authorization");
 }
 
+/// The status of the response to a request that needs a key, but no charge; `None` without one.
+async fn list_models(target: SocketAddr, key: &str) -> Option<u16> {
+    let request = awc::Client::new().get(format!("http://{target}/v1/models"));
+    let response = request.bearer_auth(key).send().await.ok()?;
+    Some(response.status().as_u16())
+}
+
 async fn accept_sheet(fleet: &Fleet, sheet: &str) -> u64 {
     let operator = fleet.hosts[0].operator;
     let status = fleet::get(operator, "/v1/status").await.expect("the host responds");
@@ -159,3 +167,41 @@
     assert!(finished >= 1, "running requests finish");
     assert!(refused >= 4, "queued requests are refused, {refused} were");
 }
+
+/// Guards against a host that starts right after a restore of the platform's store and accepts a key
+/// whose withdrawal the store has lost, while the hosts that know of it are paused.
+#[actix_web::test]
+async fn a_withdrawn_key_stays_refused_by_a_host_that_starts_after_a_restore() {
+    let mut fleet = start_proxied(|_| {}).await;
+    let (key, kept) = (fleet.keys["audit"].clone(), fleet.keys["release"].clone());
+    // The copy from which the store is restored is from after the start of the fleet.
+    sleep(Duration::from_secs(6)).await;
+    let body = json!({ "key": key });
+    fleet::post(fleet.hosts[0].operator, "/v1/keys/withdraw", &body).await.expect("withdrawn");
+    eventually("withdrawn on all hosts", WITHDRAWAL_TIMEOUT, async || {
+        !works_anywhere(&fleet, &key).await
+    })
+    .await;
+    let mut started = fleet.hosts.pop().expect("three hosts");
+    started.process.kill();
+    fleet.hosts.iter().for_each(|host| host.process.signal("STOP"));
+    let fault = Fault { restore_ms: 4_000, ..Fault::default() };
+    let fault = serde_json::to_value(fault).expect("a fault is JSON");
+    fleet::post(fleet.platform.address, "/test/fault", &fault).await.expect("the fault is set");
+    fleet.restart(&mut started.process).expect("the host starts");
+    let target = started.process.address;
+    let mut statuses = Vec::new();
+    for _ in 0..100 {
+        sleep(Duration::from_millis(20)).await;
+        statuses.extend(list_models(target, &key).await);
+    }
+    fleet.hosts.iter().for_each(|host| host.process.signal("CONT"));
+    assert!(statuses.contains(&503), "{statuses:?}");
+    assert!(statuses.iter().all(|status| [401, 503].contains(status)), "{statuses:?}");
+    eventually("the kept key works", Duration::from_secs(8), async || {
+        complete(target, &kept, "hello", 1).await.is_ok_and(|response| response.status == 200)
+    })
+    .await;
+    let response = complete(target, &key, "hello", 1).await.expect("the host responds");
+    assert_eq!((response.status, response.code()), (401, "key_withdrawn"));
+}
