Tell the recorders of two other domains which streams have begun

Cause: a host told the software version of a stream to the recorders of its own domain only, of which the first saves it in the store. While the store is away, slow, or about to be restored from an older copy, nothing outside the domain knew the stream.

Change: hosts also tell the recorders of two other domains, by rendezvous over the live ones, every 50 ms. These keep the streams in memory and do not save them. Searches ask the recorders of all domains already.

--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Each host knows the streams that it began. While streams of several versions may be taken up, it
 //! also tells them to two hosts of its domain, the recorders, of which the first saves them in the
-//! store, many in one write. A host that does not know a stream asks the recorders of all domains;
-//! a recorder that does not know it reads what is saved.
+//! store, many in one write, and to the recorders of two other domains, which know them if the domain
+//! is lost while the store is away or before it is restored from an older copy. A host that does not
+//! know a stream asks the recorders of all domains; a recorder that does not know it reads what is
+//! saved.
 
 mod saved;
 mod search;
@@ -32,8 +34,15 @@
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(250);
 /// The age of what the store says up to which the list of engines counts as up to date.
 const MAX_LIST_AGE: Duration = DIRECT_READ_AFTER;
-/// How long a host collects streams before it tells the recorders.
+/// The number of other domains whose recorders are told as well, so that streams outlive the loss of as
+/// many domains besides their own.
+const BACKUP_DOMAINS: usize = 2;
+/// How long a host collects streams before it tells the recorders of its domain.
 const TELL_DELAY: Duration = Duration::from_millis(5);
+/// How long a host collects streams before it tells the recorders of other domains.
+///
+/// As long as a stream may take to be saved; at 90 streams a second a datagram then holds several.
+const BACKUP_DELAY: Duration = Duration::from_millis(50);
 /// The number of streams in a datagram, of up to ten bytes each.
 const STREAMS_PER_DATAGRAM: usize = 100;
 
@@ -59,15 +68,31 @@
     pub reply: oneshot::Sender<Option<Tag>>,
 }
 
+/// Which recorders are told of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Audience {
+    /// Those of this host's domain.
+    Own,
+    /// Those of the domains that know this domain's streams as well.
+    Backup,
+}
+
+/// Streams that recorders have not been told yet.
+#[derive(Debug, Default)]
+struct Untold {
+    /// The streams with their versions.
+    streams: Vec<(Tag, Tag)>,
+    /// Whether they are about to be told.
+    is_due: bool,
+}
+
 /// The actor that remembers the versions of streams.
 #[derive(Debug)]
 pub struct Lineage {
     shared: Shared,
     streams: Streams,
     served: Served,
-    /// Streams that the recorders have not been told yet, with their versions.
-    untold: Vec<(Tag, Tag)>,
-    is_telling: bool,
+    untold: HashMap<Audience, Untold>,
     /// Whether streams were told to the recorders at the last look.
     was_recording: bool,
     /// Whether the list of engines was out of date at the last look, as it is before the first.
@@ -83,8 +108,7 @@
             shared,
             streams: Streams::default(),
             served: Served::default(),
-            untold: Vec::new(),
-            is_telling: false,
+            untold: HashMap::new(),
             was_recording: false,
             was_stale: true,
             searches: search::State::default(),
@@ -101,27 +125,41 @@
         let Begin { stream, version } = begin;
         self.streams.record(stream, version, Instant::now());
         if self.is_recording() {
-            self.untold.push((stream, version));
-            self.tell_later(ctx);
+            for audience in [Audience::Own, Audience::Backup] {
+                self.tell_later(audience, [(stream, version)], ctx);
+            }
         }
     }
 
-    fn tell_later(&mut self, ctx: &mut Context<Self>) {
-        if !self.untold.is_empty() && !std::mem::replace(&mut self.is_telling, true) {
-            ctx.run_later(TELL_DELAY, |actor, ctx| {
-                guard(actor, ctx, |actor, ctx| {
-                    actor.is_telling = false;
-                    actor.tell(ctx);
-                });
-            });
+    /// Tells recorders of these streams, together with others that begin within a moment.
+    fn tell_later(
+        &mut self,
+        audience: Audience,
+        streams: impl IntoIterator<Item = (Tag, Tag)>,
+        ctx: &mut Context<Self>,
+    ) {
+        let untold = self.untold.entry(audience).or_default();
+        untold.streams.extend(streams);
+        if untold.streams.is_empty() || std::mem::replace(&mut untold.is_due, true) {
+            return;
         }
+        let delay = match audience {
+            Audience::Own => TELL_DELAY,
+            Audience::Backup => BACKUP_DELAY,
+        };
+        ctx.run_later(delay, move |actor, ctx| {
+            guard(actor, ctx, |actor, ctx| actor.tell(audience, ctx));
+        });
     }
 
-    /// Tells the recorders of this host's domain which streams have begun.
-    fn tell(&mut self, ctx: &mut Context<Self>) {
-        let untold = std::mem::take(&mut self.untold);
-        let recorders = self.recorders(self.shared.domain);
-        for streams in untold.chunks(STREAMS_PER_DATAGRAM) {
+    /// Tells recorders which streams have begun.
+    fn tell(&mut self, audience: Audience, ctx: &mut Context<Self>) {
+        let Untold { streams, .. } = self.untold.remove(&audience).unwrap_or_default();
+        let recorders = match audience {
+            Audience::Own => self.recorders(self.shared.domain),
+            Audience::Backup => self.backup_recorders(),
+        };
+        for streams in streams.chunks(STREAMS_PER_DATAGRAM) {
             let body = Body::Begun(by_version(streams));
             for recorder in recorders.iter().filter(|host| **host != self.shared.host) {
                 if let Some(address) = self.shared.hosts().address(*recorder) {
@@ -130,12 +168,12 @@
             }
         }
         if recorders.contains(&self.shared.host) {
-            self.save(untold, ctx);
+            self.save(streams, ctx);
         }
     }
 
-    /// Records what another host tells this one as a recorder.
-    fn record(&mut self, begun: &[(Tag, Vec<Tag>)], ctx: &mut Context<Self>) {
+    /// Records what another host tells this one as a recorder; streams of this host's domain are saved.
+    fn record(&mut self, from: Tag, begun: &[(Tag, Vec<Tag>)], ctx: &mut Context<Self>) {
         let now = Instant::now();
         let mut new = Vec::new();
         for (version, streams) in begun {
@@ -144,7 +182,20 @@
                 new.push((*stream, *version));
             }
         }
-        self.save(new, ctx);
+        let hosts = self.shared.hosts();
+        let domain = hosts.member(from).map_or(self.shared.domain, |member| member.record.domain);
+        if domain == self.shared.domain {
+            self.save(new, ctx);
+        }
+    }
+
+    /// The recorders of the other domains that know this domain's streams.
+    fn backup_recorders(&self) -> Vec<Tag> {
+        let own = self.shared.domain;
+        let live = self.shared.hosts().live_domains(Instant::now());
+        let others = live.into_iter().filter(|domain| *domain != own);
+        let backups = rendezvous::owners(own, others, BACKUP_DOMAINS).into_iter();
+        backups.flat_map(|domain| self.recorders(domain)).collect()
     }
 
     fn recorders(&self, domain: Tag) -> Vec<Tag> {
@@ -164,7 +215,7 @@
     fn receive(&mut self, arrival: &Arrival, ctx: &mut Context<Self>) {
         let source = arrival.source;
         match &arrival.body {
-            Body::Begun(begun) => self.record(begun, ctx),
+            Body::Begun(begun) => self.record(arrival.from, begun, ctx),
             Body::FindStream { serial, stream } => {
                 if let version @ Some(_) = self.streams.version(*stream) {
                     let body = Body::StreamFound { serial: *serial, version };
@@ -227,8 +278,9 @@
                 self.served.is_mixed()
             );
             if is_recording {
-                self.untold = self.streams.iter().collect();
-                self.tell_later(ctx);
+                let streams: Vec<(Tag, Tag)> = self.streams.iter().collect();
+                self.tell_later(Audience::Backup, streams.iter().copied(), ctx);
+                self.tell_later(Audience::Own, streams, ctx);
             }
         }
         self.was_recording = is_recording;
@@ -239,8 +291,8 @@
     fn save_again(&mut self, ctx: &mut Context<Self>) {
         self.store.forget();
         if self.is_recording() {
-            self.untold = self.streams.iter().collect();
-            self.tell_later(ctx);
+            let streams: Vec<(Tag, Tag)> = self.streams.iter().collect();
+            self.tell_later(Audience::Own, streams, ctx);
         }
     }
 }
@@ -267,7 +319,7 @@
 impl Supervised for Lineage {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
         self.searches = search::State::default();
-        self.is_telling = false;
+        self.untold.clear();
         self.store = saved::State::default();
     }
 }
