--- a/crates/damaskhatch/src/control/configuration/restored.rs
+++ b/crates/damaskhatch/src/control/configuration/restored.rs
@@ -131,7 +131,10 @@
         match record {
             Recorded::Unread => {}
             Recorded::Missing => era.learn(None),
-            Recorded::Found(record) => era.learn(Some(record)),
+            Recorded::Found(record) => {
+                era.learn(Some(record));
+                self.shared.era.note_earlier(record.era);
+            }
         }
         if pulled.is_change {
             era.note_rewrite();
--- a/crates/damaskhatch/src/shared.rs
+++ b/crates/damaskhatch/src/shared.rs
@@ -124,7 +124,7 @@
     }
 
     /// Whether the store may have been restored before a position, as far as its era, the calls of this
-    /// host and what other hosts announce show.
+    /// host, the record of an earlier era and what other hosts announce show.
     pub fn may_follow_restore(&self, position: Position) -> bool {
         position.follows_restore() || self.era.has_seen_restore() || self.announced_era() > 0
     }
--- a/crates/store/src/era.rs
+++ b/crates/store/src/era.rs
@@ -28,11 +28,22 @@
         self.0.borrow().map_or(0, |seen| seen.latest)
     }
 
-    /// Whether a call has seen that the store was restored, whatever its first era is.
+    /// Whether this host knows that the store was restored, whatever its first era is.
     pub fn has_seen_restore(&self) -> bool {
         self.0.borrow().is_some_and(|seen| seen.latest > seen.first)
     }
 
+    /// Records that the store has been in an earlier era than those that this host has seen.
+    pub fn note_earlier(&self, era: u64) {
+        self.0.send_if_modified(|seen| {
+            if let Some(seen) = seen {
+                seen.first = seen.first.min(era);
+            }
+            // The restore was before the first era that this host has seen.
+            false
+        });
+    }
+
     /// A receiver that is notified of each restore from now on, but not of the first era.
     pub fn restores(&self) -> watch::Receiver<Option<Seen>> {
         self.0.subscribe()
--- a/crates/store/tests/era.rs
+++ b/crates/store/tests/era.rs
@@ -58,10 +58,14 @@
     }
 
     fn client(&self) -> Client {
+        self.client_with(era::Tracker::default())
+    }
+
+    fn client_with(&self, tracker: era::Tracker) -> Client {
         Client::new(
             self.address,
             Protocol::OWN,
-            era::Tracker::default(),
+            tracker,
             Calls::unreported(),
             Budget::new(64 << 20),
         )
@@ -129,3 +133,16 @@
     let written = client.compare_and_swap("key", &swap(before, None)).await;
     assert!(matches!(&written, Err(Error::Unreachable(_))), "{written:?}");
 }
+
+#[tokio::test]
+async fn a_host_that_starts_after_a_restore_learns_of_it_from_a_record_of_an_earlier_era() {
+    let stub = Stub::start().await;
+    let tracker = era::Tracker::default();
+    let client = stub.client_with(tracker.clone());
+    read(&stub, &client, 1, 7).await.expect("a version");
+    assert!(!tracker.has_seen_restore());
+    tracker.note_earlier(1);
+    assert!(!tracker.has_seen_restore());
+    tracker.note_earlier(0);
+    assert!(tracker.has_seen_restore() && tracker.latest() == 1);
+}
