Serve on if the record of the store's era cannot be read

A host that could not read the record counted the whole read of the store as failed and never had a configuration. Such a record now counts as that of the first era. The test failed before: not served within 1 s.

--- a/crates/damaskhatch/src/control/configuration/restored.rs
+++ b/crates/damaskhatch/src/control/configuration/restored.rs
@@ -84,11 +84,15 @@
 }
 
 /// Reads the era's record and its key's version; `None` if there is none.
+///
+/// One that cannot be read counts as that of the first era, which no later era relies on.
 async fn read_record(client: &Client) -> Result<Option<(Record, u64)>, Error> {
     match client.get(RECORD_KEY).await {
         Ok(item) => {
-            let record = serde_json::from_str(&item.value)
-                .map_err(|error| Error::Malformed(format!("{RECORD_KEY}: {error}")))?;
+            let record = serde_json::from_str(&item.value).unwrap_or_else(|error| {
+                log::warn!("event=era_record_unreadable key={RECORD_KEY} error={error}");
+                Record { era: 0, revision: 0 }
+            });
             Ok(Some((record, item.version)))
         }
         Err(Error::Missing) => Ok(None),
