--- a/crates/damaskhatch/src/control/configuration/mod.rs
+++ b/crates/damaskhatch/src/control/configuration/mod.rs
@@ -361,6 +361,7 @@
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
         self.is_pulling = false;
         self.is_saving = false;
+        self.restored.is_recording = false;
         self.version = 0;
     }
 }
--- a/crates/damaskhatch/src/control/configuration/restored.rs
+++ b/crates/damaskhatch/src/control/configuration/restored.rs
@@ -39,7 +39,7 @@
     /// What a started host has read from a store that may lack a newer configuration, oldest first.
     pub(super) held: Vec<Pulled>,
     /// Whether a write of the era's record is in progress.
-    is_recording: bool,
+    pub(super) is_recording: bool,
 }
 
 /// What the last read of the store has found.
--- a/crates/damaskhatch/src/control/lineage/mod.rs
+++ b/crates/damaskhatch/src/control/lineage/mod.rs
@@ -319,7 +319,7 @@
 impl Supervised for Lineage {
     fn restarting(&mut self, _ctx: &mut Context<Self>) {
         self.searches = search::State::default();
-        self.untold.clear();
+        self.untold.values_mut().for_each(|untold| untold.is_due = false);
         self.store = saved::State::default();
     }
 }
